--- /dev/null
+++ b/cmake/Layers.cmake
@@ -0,0 +1,22 @@
+# One static library a layer. A layer may link only the layers that stand before it in this list, so the
+# build rejects a dependence that points the wrong way. docs/Design.md gives the reasons.
+set(MARIGOLD_LAYERS Support State Coordination Protocol Transport)
+
+function(marigold_layer name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINK;LIBRARIES" ${ARGN})
+  list(FIND MARIGOLD_LAYERS ${name} own)
+  if(own EQUAL -1)
+    message(FATAL_ERROR "unknown layer ${name}")
+  endif()
+  add_library(Marigold${name} STATIC ${ARG_SOURCES})
+  target_include_directories(Marigold${name} PUBLIC ${PROJECT_SOURCE_DIR}/include)
+  target_compile_options(Marigold${name} PRIVATE -Wall -Wextra)
+  foreach(layer ${ARG_LINK})
+    list(FIND MARIGOLD_LAYERS ${layer} other)
+    if(other EQUAL -1 OR NOT other LESS own)
+      message(FATAL_ERROR "layer ${name} must not depend on ${layer}")
+    endif()
+    target_link_libraries(Marigold${name} PUBLIC Marigold${layer})
+  endforeach()
+  target_link_libraries(Marigold${name} PRIVATE ${ARG_LIBRARIES})
+endfunction()
--- /dev/null
+++ b/include/marigoldlink/Coordination/FairQueue.h
@@ -0,0 +1,103 @@
+// The queue of one pool: urgency first, then the team that is farthest below its share.
+#pragma once
+
+#include "marigoldlink/State/Types.h"
+
+#include <array>
+#include <concepts>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace marigoldlink {
+
+// Number of a queued request within one process.
+enum class Ticket : std::uint64_t {};
+
+// A team that could start a task now.
+struct Candidate {
+    TeamId team;
+    double share { 1 };
+    Slots usage { 0 }; // slots that the team occupies in the whole fleet, as far as known
+};
+
+// Chooses among teams. The candidates are never empty and are sorted by team.
+template <typename T>
+concept SharePolicy = requires(T policy, const std::vector<Candidate>& candidates)
+{
+    {
+        policy.choose(candidates)
+        } -> std::convertible_to<std::size_t>;
+};
+
+// Chooses the team that occupies the fewest slots for its share in the whole fleet.
+class FleetUsagePolicy {
+public:
+    std::size_t choose(const std::vector<Candidate>&);
+};
+
+// Deficit round robin over the starts of this process alone.
+class DeficitRoundRobinPolicy {
+public:
+    std::size_t choose(const std::vector<Candidate>&);
+
+private:
+    std::map<TeamId, double> m_credit;
+    TeamId m_last;
+};
+
+static_assert(SharePolicy<FleetUsagePolicy>);
+static_assert(SharePolicy<DeficitRoundRobinPolicy>);
+
+struct QueueLimits {
+    std::size_t ticketsPerTeam { 512 };
+    std::size_t tickets { 4096 };
+    // After so many choices with lower urgency waiting, one choice goes to the lower urgency.
+    int choicesPerLowerUrgency { 32 };
+};
+
+template <SharePolicy Policy> class FairQueue {
+public:
+    // The share and usage of a team, or nothing when the team cannot start a task now.
+    using Lookup = std::function<std::optional<Candidate>(const TeamId&)>;
+
+    explicit FairQueue(QueueLimits limits)
+        : m_limits(limits)
+    {
+    }
+
+    // Returns false when the queue or the team's part of it is full.
+    bool push(Ticket, const TeamId&, Urgency);
+    // Puts a ticket back to the front, beyond the limits: it was accepted before.
+    void pushFront(Ticket, const TeamId&, Urgency);
+    bool remove(Ticket, const TeamId&, Urgency);
+
+    // Takes the ticket to start next, of at least the given urgency.
+    std::optional<Ticket> pop(const Lookup&, Urgency lowest = Urgency::Deferrable);
+
+    std::size_t size() const { return m_size; }
+    std::size_t size(Urgency, const std::function<bool(const TeamId&)>& isCounted) const;
+    std::size_t size(const TeamId&) const;
+    const auto& sizesByTeam() const { return m_byTeam; }
+
+private:
+    using TeamQueues = std::map<TeamId, std::deque<Ticket>>;
+
+    std::optional<Ticket> popFrom(TeamQueues&, const Lookup&);
+    void forget(const TeamId&);
+
+    QueueLimits m_limits;
+    std::array<TeamQueues, urgencyCount> m_queues;
+    // Invariant: the number of tickets in all queues, and of each team. No team has an empty queue.
+    std::size_t m_size { 0 };
+    std::map<TeamId, std::size_t> m_byTeam;
+    int m_choicesSinceLower { 0 };
+    Policy m_policy;
+};
+
+extern template class FairQueue<FleetUsagePolicy>;
+extern template class FairQueue<DeficitRoundRobinPolicy>;
+
+} // namespace marigoldlink
--- /dev/null
+++ b/include/marigoldlink/Coordination/FleetDiff.h
@@ -0,0 +1,25 @@
+// What a new text changes against the one in force, in sentences for operators.
+#pragma once
+
+#include "marigoldlink/State/FleetText.h"
+#include "marigoldlink/State/Records.h"
+
+namespace marigoldlink {
+
+struct FleetChange {
+    char sign { '~' }; // '+' added, '-' removed, '~' changed
+    std::string sentence;
+};
+
+std::vector<FleetChange> describeChanges(const FleetText& before, const FleetText& after);
+
+// Slots that each pool needs by the text and has by the records of its instances.
+struct PoolCapacity {
+    PoolId pool;
+    Slots needed { 0 };
+    Slots present { 0 };
+};
+
+std::vector<PoolCapacity> poolCapacities(const FleetText&, const std::vector<InstanceRecord>&);
+
+} // namespace marigoldlink
--- /dev/null
+++ b/include/marigoldlink/Protocol/PeerCodec.h
@@ -0,0 +1,14 @@
+// Thrift compact encoding of the messages between entry instances.
+#pragma once
+
+#include <string>
+
+namespace marigoldlink {
+
+// Defined for the generated structs of idl/Peer.thrift.
+template <typename Message> std::string encodePeer(const Message&);
+
+// Returns false when the bytes are not one whole message.
+template <typename Message> bool decodePeer(const std::string& bytes, Message&);
+
+} // namespace marigoldlink
--- /dev/null
+++ b/include/marigoldlink/Protocol/RecordCodec.h
@@ -0,0 +1,29 @@
+// JSON forms of the lasting records. Decoders throw Error(Internal) on a value that does not parse.
+#pragma once
+
+#include "marigoldlink/State/Records.h"
+
+namespace marigoldlink {
+
+std::string encode(const ConfigRecord&);
+ConfigRecord decodeConfigRecord(const std::string& key, const std::string& value);
+
+std::string encode(const std::vector<KeyGrant>&);
+std::vector<KeyGrant> decodeKeyGrants(const std::string& value);
+
+std::string encode(const EscrowRecord&);
+EscrowRecord decodeEscrowRecord(const std::string& value);
+
+std::string encode(const MemberRecord&);
+MemberRecord decodeMemberRecord(const std::string& value);
+
+std::string encode(const InstanceRecord&);
+InstanceRecord decodeInstanceRecord(const std::string& value);
+
+std::string encode(const CustomerRecord&);
+CustomerRecord decodeCustomerRecord(const std::string& value);
+
+std::string encode(const std::vector<InstanceInfo>&);
+std::vector<InstanceInfo> decodeInstanceList(const std::string& value);
+
+} // namespace marigoldlink
--- /dev/null
+++ b/include/marigoldlink/Transport/HttpClient.h
@@ -0,0 +1,56 @@
+// HTTP client of a process: pooled HTTP/1.1 connections by h2o, one request at a time on each.
+//
+// One request a connection keeps answers from crossing: a late answer belongs to a connection that was closed.
+#pragma once
+
+#include "marigoldlink/Transport/EventLoop.h"
+#include "marigoldlink/Transport/HttpServer.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace marigoldlink {
+
+struct HttpOutcome {
+    enum class Kind {
+        Answered, // The whole answer arrived.
+        NotSent, // No byte of the request left this process.
+        Lost, // The request may have been received; no whole answer arrived.
+    };
+
+    Kind kind { Kind::NotSent };
+    int status { 0 };
+    std::string body;
+
+    bool isOk() const { return kind == Kind::Answered && status == 200; }
+};
+
+struct HttpCall {
+    std::string method { "GET" };
+    std::string target { "/" };
+    std::string body;
+    HttpHeaders headers;
+    Duration timeout { 1000 };
+};
+
+class HttpClient {
+public:
+    using Callback = std::function<void(HttpOutcome)>;
+
+    explicit HttpClient(EventLoop&);
+    ~HttpClient();
+
+    // Sends the call and calls back exactly once, never before this function returns.
+    void send(const Endpoint&, HttpCall, Callback);
+
+    // Bytes of request heads and bodies sent so far, and of answers received.
+    std::uint64_t bytesSent() const;
+    std::uint64_t bytesReceived() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace marigoldlink
--- /dev/null
+++ b/lib/Coordination/Escrow.cpp
@@ -0,0 +1,122 @@
+// Accounts of one holder and proposals for the teams' escrow records.
+#include "marigoldlink/Coordination/Escrow.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace marigoldlink {
+
+namespace {
+
+    // A holder keeps this part of an even split in reserve, so that a burst starts without a write.
+    constexpr Slots s_reserveDivisor = 4;
+
+    Slots reserve(const EscrowDemand& demand)
+    {
+        if (demand.isWantedElsewhere)
+            return 0;
+        return std::max<Slots>(1, demand.upperLimit / (s_reserveDivisor * std::max<Slots>(1, demand.members)));
+    }
+
+} // namespace
+
+Slots EscrowHolder::held(const TeamId& team) const
+{
+    const auto found = m_accounts.find(team);
+    return found == m_accounts.end() ? 0 : found->second.held;
+}
+
+Slots EscrowHolder::running(const TeamId& team) const
+{
+    const auto found = m_accounts.find(team);
+    return found == m_accounts.end() ? 0 : found->second.running;
+}
+
+bool EscrowHolder::canStart(const TeamId& team) const
+{
+    const auto found = m_accounts.find(team);
+    if (found == m_accounts.end() || found->second.isOverCommitted)
+        return false;
+    return found->second.running < found->second.held;
+}
+
+bool EscrowHolder::tryStart(const TeamId& team)
+{
+    if (!canStart(team))
+        return false;
+    ++m_accounts[team].running;
+    return true;
+}
+
+void EscrowHolder::finish(const TeamId& team)
+{
+    auto& account = m_accounts[team];
+    assert(account.running > 0 && "a task finishes once");
+    --account.running;
+}
+
+std::optional<EscrowRecord> EscrowHolder::propose(const TeamId& team, const std::optional<EscrowRecord>& current,
+    TeamLimit limit, Slots wanted, const IsMember& isMember)
+{
+    auto& account = m_accounts[team];
+    if (account.isWriting)
+        return std::nullopt;
+    EscrowRecord next = current.value_or(EscrowRecord { limit.upperLimit, limit.textVersion, {} });
+    if (limit.textVersion > next.limitVersion) {
+        next.limit = limit.upperLimit;
+        next.limitVersion = limit.textVersion;
+    }
+    std::erase_if(next.held, [&](const auto& item) { return item.first != m_self && !isMember(item.first); });
+    account.isOverCommitted = next.total() > next.limit;
+
+    const auto mine = next.held.contains(m_self) ? next.held.at(m_self) : 0;
+    const auto room = std::max<Slots>(0, next.limit - (next.total() - mine));
+    const auto target = std::max(account.running, std::min(std::max(wanted, account.running), room));
+    next.held[m_self] = target;
+    if (target == 0)
+        next.held.erase(m_self);
+    if (current && next == *current && target == account.held)
+        return std::nullopt;
+    return next;
+}
+
+void EscrowHolder::writeBegins(const TeamId& team, const EscrowRecord& proposal)
+{
+    auto& account = m_accounts[team];
+    assert(!account.isWriting && "one write of a team at a time");
+    account.isWriting = true;
+    const auto found = proposal.held.find(m_self);
+    const auto amount = found == proposal.held.end() ? 0 : found->second;
+    assert(amount >= account.running && "a holder keeps what its tasks use");
+    account.held = std::min(account.held, amount);
+}
+
+void EscrowHolder::writeEnds(const TeamId& team, const EscrowRecord& proposal, bool isConfirmed)
+{
+    auto& account = m_accounts[team];
+    assert(account.isWriting && "a write ends once");
+    account.isWriting = false;
+    if (!isConfirmed)
+        return;
+    const auto found = proposal.held.find(m_self);
+    account.held = found == proposal.held.end() ? 0 : found->second;
+    account.isOverCommitted = proposal.total() > proposal.limit;
+}
+
+Slots wantedAmount(const EscrowDemand& demand)
+{
+    return std::min(demand.upperLimit, demand.running + demand.queued + reserve(demand));
+}
+
+bool isWorthWriting(Slots held, const EscrowDemand& demand)
+{
+    const auto needed = std::min(demand.upperLimit, demand.running + demand.queued);
+    if (held < needed)
+        return true;
+    if (demand.isWantedElsewhere && held > needed)
+        return true;
+    // An amount well above the reserve goes back even when nobody asks, so that it is there when somebody does.
+    return held > 2 * wantedAmount(demand) + 1;
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/lib/Coordination/KeyRing.cpp
@@ -0,0 +1,78 @@
+// Salted SHA-256 hashes of keys, compared in constant time.
+#include "marigoldlink/Coordination/KeyRing.h"
+
+#include "marigoldlink/State/Errors.h"
+
+#include <array>
+#include <openssl/crypto.h>
+#include <openssl/rand.h>
+#include <openssl/sha.h>
+
+namespace marigoldlink {
+
+namespace {
+
+    constexpr std::size_t s_idBytes = 8;
+    constexpr std::size_t s_saltBytes = 16;
+    constexpr std::size_t s_secretBytes = 24;
+
+    std::string hexadecimal(const unsigned char* bytes, std::size_t size)
+    {
+        static constexpr char digits[] = "0123456789abcdef";
+        std::string text;
+        for (std::size_t i = 0; i < size; ++i) {
+            text += digits[bytes[i] >> 4];
+            text += digits[bytes[i] & 15];
+        }
+        return text;
+    }
+
+    std::string randomHexadecimal(std::size_t size)
+    {
+        std::array<unsigned char, 64> bytes {};
+        if (RAND_bytes(bytes.data(), static_cast<int>(size)) != 1)
+            throw Error(ErrorKind::Internal, "the random source failed");
+        return hexadecimal(bytes.data(), size);
+    }
+
+    std::string hashOf(const std::string& salt, std::string_view secret)
+    {
+        const auto salted = salt + std::string(secret);
+        std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
+        SHA256(reinterpret_cast<const unsigned char*>(salted.data()), salted.size(), digest.data());
+        return hexadecimal(digest.data(), digest.size());
+    }
+
+} // namespace
+
+void KeyRing::replace(const TeamId& team, const std::vector<KeyGrant>& grants)
+{
+    std::erase_if(m_keys, [&team](const auto& item) { return item.second.team == team; });
+    for (const auto& grant : grants)
+        m_keys.insert_or_assign(grant.id, Entry { team, grant });
+}
+
+std::optional<TeamId> KeyRing::authenticate(std::string_view presented) const
+{
+    const auto dot = presented.find('.');
+    if (dot == std::string_view::npos)
+        return std::nullopt;
+    const auto found = m_keys.find(KeyId(std::string(presented.substr(0, dot))));
+    if (found == m_keys.end())
+        return std::nullopt;
+    const auto& [team, grant] = found->second;
+    const auto hash = hashOf(grant.salt, presented.substr(dot + 1));
+    if (hash.size() != grant.hash.size() || CRYPTO_memcmp(hash.data(), grant.hash.data(), hash.size()) != 0)
+        return std::nullopt;
+    return team;
+}
+
+NewKey createKey()
+{
+    const auto secret = randomHexadecimal(s_secretBytes);
+    KeyGrant grant { KeyId(randomHexadecimal(s_idBytes)), randomHexadecimal(s_saltBytes), {} };
+    grant.hash = hashOf(grant.salt, secret);
+    return { grant, grant.id.value() + "." + secret };
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/lib/Transport/HttpClient.cpp
@@ -0,0 +1,205 @@
+// HTTP client on h2o's http1client with one socket pool an endpoint.
+#include "marigoldlink/Transport/HttpClient.h"
+
+#include "H2o.h"
+
+#include <arpa/inet.h>
+#include <cassert>
+#include <map>
+#include <netinet/in.h>
+
+namespace marigoldlink {
+
+namespace {
+
+    constexpr std::size_t s_pooledConnections = 4096;
+    constexpr std::uint64_t s_pooledIdleMilliseconds = 5000;
+    constexpr std::uint64_t s_ioTimeoutMilliseconds = 120000;
+
+    bool hasFraming(const h2o_header_t* headers, std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            if (headers[i].name == &H2O_TOKEN_CONTENT_LENGTH->buf
+                || headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf)
+                return true;
+        }
+        return false;
+    }
+
+} // namespace
+
+struct HttpClient::Impl {
+    struct Call {
+        Impl* owner;
+        Callback callback;
+        std::string head;
+        std::string body;
+        h2o_iovec_t buffers[2] {};
+        h2o_http1client_t* client { nullptr };
+        HttpOutcome outcome;
+        // Invariant: true from the moment the request was handed to the socket.
+        bool sent { false };
+        std::uint64_t id { 0 };
+    };
+
+    explicit Impl(EventLoop& eventLoop)
+        : loop(eventLoop)
+    {
+    }
+
+    EventLoop& loop;
+    h2o_multithread_queue_t* queue { nullptr };
+    h2o_multithread_receiver_t receiver {};
+    h2o_timeout_t ioTimeout {};
+    h2o_http1client_ctx_t context {};
+    std::map<Endpoint, std::unique_ptr<h2o_socketpool_t>> pools;
+    std::map<std::uint64_t, std::unique_ptr<Call>> calls;
+    std::uint64_t nextCall { 1 };
+    std::uint64_t sent { 0 };
+    std::uint64_t received { 0 };
+
+    h2o_socketpool_t* pool(const Endpoint& endpoint)
+    {
+        auto& slot = pools[endpoint];
+        if (slot)
+            return slot.get();
+        slot = std::make_unique<h2o_socketpool_t>();
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(endpoint.port);
+        ::inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
+        h2o_socketpool_init_by_address(
+            slot.get(), reinterpret_cast<sockaddr*>(&address), sizeof(address), 0, s_pooledConnections);
+        h2o_socketpool_set_timeout(slot.get(), loop.native(), s_pooledIdleMilliseconds);
+        return slot.get();
+    }
+
+    void finish(Call* call, HttpOutcome::Kind kind)
+    {
+        auto found = calls.find(call->id);
+        assert(found != calls.end() && "a call finishes once");
+        auto owned = std::move(found->second);
+        calls.erase(found);
+        owned->outcome.kind = kind;
+        received += owned->outcome.body.size();
+        owned->callback(std::move(owned->outcome));
+    }
+
+    static h2o_http1client_head_cb onConnect(
+        h2o_http1client_t* client, const char* error, h2o_iovec_t** buffers, std::size_t* count, int* isHead)
+    {
+        auto* call = static_cast<Call*>(client->data);
+        if (error) {
+            call->client = nullptr;
+            call->owner->finish(call, HttpOutcome::Kind::NotSent);
+            return nullptr;
+        }
+        call->sent = true;
+        call->buffers[0] = h2o_iovec_init(call->head.data(), call->head.size());
+        call->buffers[1] = h2o_iovec_init(call->body.data(), call->body.size());
+        *buffers = call->buffers;
+        *count = call->body.empty() ? 1 : 2;
+        *isHead = 0;
+        return onHead;
+    }
+
+    static h2o_http1client_body_cb onHead(h2o_http1client_t* client, const char* error, int, int status, h2o_iovec_t,
+        h2o_header_t* headers, std::size_t count, int)
+    {
+        auto* call = static_cast<Call*>(client->data);
+        const bool isEnd = error == h2o_http1client_error_is_eos;
+        if (error && !isEnd) {
+            call->client = nullptr;
+            call->owner->finish(call, HttpOutcome::Kind::Lost);
+            return nullptr;
+        }
+        call->outcome.status = status;
+        if (isEnd) {
+            call->client = nullptr;
+            const auto kind = hasFraming(headers, count) ? HttpOutcome::Kind::Answered : HttpOutcome::Kind::Lost;
+            call->owner->finish(call, kind);
+            return nullptr;
+        }
+        if (!hasFraming(headers, count)) {
+            // Without framing a truncated body cannot be told from a whole one. Returning no callback closes it.
+            call->client = nullptr;
+            call->owner->finish(call, HttpOutcome::Kind::Lost);
+            return nullptr;
+        }
+        return onBody;
+    }
+
+    static int onBody(h2o_http1client_t* client, const char* error)
+    {
+        auto* call = static_cast<Call*>(client->data);
+        if (error && error != h2o_http1client_error_is_eos) {
+            call->client = nullptr;
+            call->owner->finish(call, HttpOutcome::Kind::Lost);
+            return -1;
+        }
+        auto* input = client->sock->input;
+        call->outcome.body.append(input->bytes, input->size);
+        h2o_buffer_consume(&client->sock->input, input->size);
+        if (error) {
+            call->client = nullptr;
+            call->owner->finish(call, HttpOutcome::Kind::Answered);
+        }
+        return 0;
+    }
+
+    void expire(std::uint64_t id)
+    {
+        auto found = calls.find(id);
+        if (found == calls.end())
+            return;
+        auto* call = found->second.get();
+        if (call->client)
+            h2o_http1client_cancel(call->client);
+        finish(call, call->sent ? HttpOutcome::Kind::Lost : HttpOutcome::Kind::NotSent);
+    }
+};
+
+HttpClient::HttpClient(EventLoop& loop)
+    : m_impl(std::make_unique<Impl>(loop))
+{
+    m_impl->queue = h2o_multithread_create_queue(loop.native());
+    h2o_multithread_register_receiver(m_impl->queue, &m_impl->receiver, h2o_hostinfo_getaddr_receiver);
+    h2o_timeout_init(loop.native(), &m_impl->ioTimeout, s_ioTimeoutMilliseconds);
+    m_impl->context.loop = loop.native();
+    m_impl->context.getaddr_receiver = &m_impl->receiver;
+    m_impl->context.io_timeout = &m_impl->ioTimeout;
+}
+
+HttpClient::~HttpClient() = default;
+
+std::uint64_t HttpClient::bytesSent() const { return m_impl->sent; }
+std::uint64_t HttpClient::bytesReceived() const { return m_impl->received; }
+
+void HttpClient::send(const Endpoint& endpoint, HttpCall request, Callback callback)
+{
+    auto call = std::make_unique<Impl::Call>();
+    auto* raw = call.get();
+    raw->owner = m_impl.get();
+    raw->callback = std::move(callback);
+    raw->id = m_impl->nextCall++;
+    raw->head = request.method + " " + request.target + " HTTP/1.1\r\nhost: " + endpoint.text()
+        + "\r\nconnection: keep-alive\r\ncontent-length: " + std::to_string(request.body.size()) + "\r\n";
+    for (const auto& [headerName, value] : request.headers)
+        raw->head += headerName + ": " + value + "\r\n";
+    raw->head += "\r\n";
+    raw->body = std::move(request.body);
+    m_impl->sent += raw->head.size() + raw->body.size();
+    m_impl->calls.emplace(raw->id, std::move(call));
+    m_impl->loop.after(request.timeout, [impl = m_impl.get(), id = raw->id] { impl->expire(id); });
+    // Connecting from a timer keeps the promise that no callback runs before this function returns.
+    m_impl->loop.after(Duration(0), [impl = m_impl.get(), id = raw->id, endpoint] {
+        auto found = impl->calls.find(id);
+        if (found == impl->calls.end())
+            return;
+        auto* pending = found->second.get();
+        h2o_http1client_connect_with_pool(
+            &pending->client, pending, &impl->context, impl->pool(endpoint), Impl::onConnect);
+    });
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/lib/Transport/HttpPlatform.cpp
@@ -0,0 +1,126 @@
+// Platform adapter over HTTP with JSON.
+#include "marigoldlink/Transport/HttpPlatform.h"
+
+#include "marigoldlink/Protocol/RecordCodec.h"
+#include "marigoldlink/State/Errors.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marigoldlink {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr Duration s_callTimeout { 1500 };
+    constexpr Duration s_watchWait { 1000 };
+
+    constexpr int s_statusMissing = 404;
+    constexpr int s_statusConflict = 409;
+
+    std::string text(Revision revision) { return std::to_string(static_cast<std::uint64_t>(revision)); }
+
+    Revision revisionOf(const Json& json) { return Revision(json.at("revision").get<std::uint64_t>()); }
+
+    StoreStatus failure(const HttpOutcome& outcome)
+    {
+        if (outcome.kind == HttpOutcome::Kind::NotSent)
+            return StoreStatus::Unavailable;
+        if (outcome.kind == HttpOutcome::Kind::Lost)
+            return StoreStatus::Unknown;
+        if (outcome.status == s_statusMissing)
+            return StoreStatus::Missing;
+        if (outcome.status == s_statusConflict)
+            return StoreStatus::Conflict;
+        return StoreStatus::Unavailable;
+    }
+
+    StoredValue storedValue(const Json& json) { return { json.at("key"), json.at("value"), revisionOf(json) }; }
+
+} // namespace
+
+HttpPlatform::HttpPlatform(HttpClient& client, Endpoint endpoint)
+    : m_client(client)
+    , m_endpoint(std::move(endpoint))
+{
+}
+
+void HttpPlatform::read(const std::string& key, ReadCallback callback)
+{
+    HttpCall call { "GET", "/kv/" + key, "", {}, s_callTimeout };
+    m_client.send(m_endpoint, std::move(call), [callback = std::move(callback)](HttpOutcome outcome) {
+        if (!outcome.isOk()) {
+            callback({ failure(outcome), {} });
+            return;
+        }
+        const auto json = Json::parse(outcome.body, nullptr, false);
+        if (json.is_discarded())
+            callback({ StoreStatus::Unknown, {} });
+        else
+            callback({ StoreStatus::Ok, storedValue(json) });
+    });
+}
+
+void HttpPlatform::write(const std::string& key, const std::string& value, Revision expected, WriteCallback callback)
+{
+    HttpCall call { "PUT", "/kv/" + key + "?expect=" + text(expected), value, {}, s_callTimeout };
+    m_client.send(m_endpoint, std::move(call), [callback = std::move(callback)](HttpOutcome outcome) {
+        if (!outcome.isOk()) {
+            callback({ failure(outcome), noRevision });
+            return;
+        }
+        const auto json = Json::parse(outcome.body, nullptr, false);
+        if (json.is_discarded())
+            callback({ StoreStatus::Unknown, noRevision });
+        else
+            callback({ StoreStatus::Ok, revisionOf(json) });
+    });
+}
+
+void HttpPlatform::fetchRange(std::string target, Duration timeout, RangeCallback callback)
+{
+    HttpCall call { "GET", std::move(target), "", {}, timeout };
+    m_client.send(m_endpoint, std::move(call), [callback = std::move(callback)](HttpOutcome outcome) {
+        RangeResult result;
+        result.status = failure(outcome);
+        const auto json = outcome.isOk() ? Json::parse(outcome.body, nullptr, false) : Json();
+        if (json.is_object()) {
+            result.status = StoreStatus::Ok;
+            result.revision = revisionOf(json);
+            for (const auto& item : json.at("items"))
+                result.values.push_back(storedValue(item));
+        }
+        callback(std::move(result));
+    });
+}
+
+void HttpPlatform::range(const std::string& prefix, RangeCallback callback)
+{
+    fetchRange("/range?prefix=" + prefix, s_callTimeout, std::move(callback));
+}
+
+void HttpPlatform::watch(const std::string& prefix, Revision after, RangeCallback callback)
+{
+    const auto target
+        = "/watch?prefix=" + prefix + "&after=" + text(after) + "&wait=" + std::to_string(s_watchWait.count());
+    fetchRange(target, s_watchWait + s_callTimeout, std::move(callback));
+}
+
+void HttpPlatform::instances(InstanceListCallback callback)
+{
+    HttpCall call { "GET", "/instances", "", {}, s_callTimeout };
+    m_client.send(m_endpoint, std::move(call), [callback = std::move(callback)](HttpOutcome outcome) {
+        InstanceListResult result { failure(outcome), {} };
+        if (outcome.isOk()) {
+            try {
+                result.instances = decodeInstanceList(outcome.body);
+                result.status = StoreStatus::Ok;
+            } catch (const Error&) {
+                result.status = StoreStatus::Unknown;
+            }
+        }
+        callback(std::move(result));
+    });
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/lib/Transport/HttpServer.cpp
@@ -0,0 +1,223 @@
+// HTTP server on h2o's evloop.
+#include "marigoldlink/Transport/HttpServer.h"
+
+#include "H2o.h"
+#include "marigoldlink/State/Errors.h"
+
+#include <arpa/inet.h>
+#include <cassert>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace marigoldlink {
+
+namespace {
+
+    constexpr int s_listenBacklog = 1024;
+
+    const char* reasonPhrase(int status)
+    {
+        if (status < 300)
+            return "OK";
+        if (status < 500)
+            return "Refused";
+        return "Failed";
+    }
+
+    struct Handler {
+        h2o_handler_t super;
+        HttpHandler* callback;
+    };
+
+    // Lives in the request's memory pool; tells the responder when h2o disposes of the request.
+    struct RequestGuard;
+
+    class Responder final : public HttpResponder {
+    public:
+        explicit Responder(h2o_req_t* request)
+            : m_request(request)
+        {
+        }
+
+        void send(HttpAnswer answer) override
+        {
+            if (!m_request)
+                return;
+            auto* request = m_request;
+            m_request = nullptr;
+            m_onClosed = nullptr;
+            request->res.status = answer.status;
+            request->res.reason = reasonPhrase(answer.status);
+            request->res.content_length = answer.body.size();
+            const auto type = h2o_strdup(&request->pool, answer.contentType.data(), answer.contentType.size());
+            h2o_add_header(&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE, nullptr, type.base, type.len);
+            for (const auto& [headerName, value] : answer.headers) {
+                const auto headerCopy = h2o_strdup(&request->pool, headerName.data(), headerName.size());
+                const auto valueCopy = h2o_strdup(&request->pool, value.data(), value.size());
+                h2o_add_header_by_str(&request->pool, &request->res.headers, headerCopy.base, headerCopy.len, 1,
+                    nullptr, valueCopy.base, valueCopy.len);
+            }
+            h2o_send_inline(request, answer.body.data(), answer.body.size());
+        }
+
+        bool isOpen() const override { return m_request; }
+
+        void onClosed(std::function<void()> callback) override { m_onClosed = std::move(callback); }
+
+        void requestDisposed()
+        {
+            m_request = nullptr;
+            if (auto callback = std::exchange(m_onClosed, nullptr))
+                callback();
+        }
+
+    private:
+        h2o_req_t* m_request;
+        std::function<void()> m_onClosed;
+    };
+
+    struct RequestGuard {
+        std::shared_ptr<Responder> responder;
+    };
+
+    void disposeGuard(void* memory)
+    {
+        auto* guard = static_cast<RequestGuard*>(memory);
+        guard->responder->requestDisposed();
+        guard->~RequestGuard();
+    }
+
+    std::string_view view(const h2o_iovec_t& text) { return { text.base, text.len }; }
+
+    int onRequest(h2o_handler_t* self, h2o_req_t* request)
+    {
+        auto responder = std::make_shared<Responder>(request);
+        void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(RequestGuard), disposeGuard);
+        new (memory) RequestGuard { responder };
+
+        HttpRequest incoming;
+        incoming.method = view(request->method);
+        const auto target = view(request->path);
+        const auto question = target.find('?');
+        incoming.path = target.substr(0, question);
+        incoming.query = question == std::string_view::npos ? std::string_view() : target.substr(question + 1);
+        incoming.body = view(request->entity);
+        incoming.native = request;
+        (*reinterpret_cast<Handler*>(self)->callback)(incoming, responder);
+        return 0;
+    }
+
+    std::string decodePercent(std::string_view text)
+    {
+        std::string decoded;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            if (text[i] != '%' || i + 2 >= text.size()) {
+                decoded += text[i];
+                continue;
+            }
+            decoded += static_cast<char>(std::strtol(std::string(text.substr(i + 1, 2)).c_str(), nullptr, 16));
+            i += 2;
+        }
+        return decoded;
+    }
+
+} // namespace
+
+std::string_view HttpRequest::header(std::string_view lowerCaseName) const
+{
+    const auto* request = static_cast<const h2o_req_t*>(native);
+    for (std::size_t i = 0; i < request->headers.size; ++i) {
+        const auto& header = request->headers.entries[i];
+        if (view(*header.name) == lowerCaseName)
+            return view(header.value);
+    }
+    return {};
+}
+
+std::string HttpRequest::parameter(std::string_view name) const
+{
+    auto rest = query;
+    while (!rest.empty()) {
+        const auto end = rest.find('&');
+        const auto pair = rest.substr(0, end);
+        const auto equals = pair.find('=');
+        if (pair.substr(0, equals) == name)
+            return equals == std::string_view::npos ? std::string() : decodePercent(pair.substr(equals + 1));
+        rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+    }
+    return {};
+}
+
+struct HttpServer::Impl {
+    EventLoop& loop;
+    HttpHandler handler;
+    h2o_globalconf_t config {};
+    h2o_context_t context {};
+    h2o_accept_ctx_t acceptContext {};
+    h2o_socket_t* listener { nullptr };
+
+    static void onAccept(h2o_socket_t* listener, const char* error)
+    {
+        if (error)
+            return;
+        auto* self = static_cast<Impl*>(listener->data);
+        while (h2o_socket_t* socket = h2o_evloop_socket_accept(listener))
+            h2o_accept(&self->acceptContext, socket);
+    }
+};
+
+HttpServer::HttpServer(EventLoop& loop, Limits limits, HttpHandler handler)
+    : m_impl(new Impl { loop, std::move(handler) })
+{
+    h2o_config_init(&m_impl->config);
+    m_impl->config.max_request_entity_size = limits.bodyBytes;
+    m_impl->config.http1.req_timeout = static_cast<std::uint64_t>(limits.requestTimeout.count());
+    m_impl->config.http2.idle_timeout = static_cast<std::uint64_t>(limits.requestTimeout.count());
+    auto* host = h2o_config_register_host(&m_impl->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    auto* path = h2o_config_register_path(host, "/", 0);
+    auto* native = reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
+    native->super.on_req = onRequest;
+    native->callback = &m_impl->handler;
+    h2o_context_init(&m_impl->context, loop.native(), &m_impl->config);
+    m_impl->acceptContext.ctx = &m_impl->context;
+    m_impl->acceptContext.hosts = m_impl->config.hosts;
+}
+
+HttpServer::~HttpServer() { stopListening(); }
+
+Endpoint HttpServer::listen(const Endpoint& endpoint)
+{
+    assert(!m_impl->listener && "a server listens on one endpoint");
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    ::inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
+    socklen_t length = sizeof(address);
+    if (::bind(descriptor, reinterpret_cast<sockaddr*>(&address), length) || ::listen(descriptor, s_listenBacklog)) {
+        const std::string reason = std::strerror(errno);
+        ::close(descriptor);
+        throw Error(ErrorKind::InvalidSettings, "cannot listen on " + endpoint.text() + ": " + reason);
+    }
+    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length);
+    m_impl->listener = h2o_evloop_socket_create(m_impl->loop.native(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
+    m_impl->listener->data = m_impl.get();
+    h2o_socket_read_start(m_impl->listener, Impl::onAccept);
+    return { endpoint.address, ntohs(address.sin_port) };
+}
+
+void HttpServer::stopListening()
+{
+    if (!m_impl->listener)
+        return;
+    h2o_socket_read_stop(m_impl->listener);
+    h2o_socket_close(m_impl->listener);
+    m_impl->listener = nullptr;
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/tools/common/ConfigSync.cpp
@@ -0,0 +1,138 @@
+// Configuration watch, adoption and restoration.
+#include "ConfigSync.h"
+
+#include "Jitter.h"
+#include "marigoldlink/Protocol/RecordCodec.h"
+#include "marigoldlink/State/Errors.h"
+#include "marigoldlink/Support/Log.h"
+
+namespace marigoldlink {
+
+namespace {
+
+    constexpr Log s_log("config");
+    constexpr Duration s_retryDelay { 300 };
+    const std::string s_grantsPrefix = "config/key/";
+    const std::string s_dataCenterPrefix = "config/dc/";
+
+} // namespace
+
+ConfigSync::ConfigSync(EventLoop& loop, HttpPlatform& platform, Freshness& freshness)
+    : m_loop(loop)
+    , m_platform(platform)
+    , m_freshness(freshness)
+{
+}
+
+void ConfigSync::start() { watch(); }
+
+std::uint64_t ConfigSync::textVersion() const
+{
+    const auto* record = m_store.find(keys::text);
+    return record ? record->version : 0;
+}
+
+void ConfigSync::watch()
+{
+    const auto sentAt = m_loop.now();
+    const auto onResult = [this, sentAt](RangeResult result) {
+        if (result.status != StoreStatus::Ok) {
+            m_loop.after(jittered(s_retryDelay), [this] { watch(); });
+            return;
+        }
+        take(result);
+        m_freshness.platformAnswered(sentAt);
+        watch();
+    };
+    if (m_revision == noRevision)
+        m_platform.range(keys::configPrefix, onResult);
+    else
+        m_platform.watch(keys::configPrefix, m_revision, onResult);
+}
+
+void ConfigSync::take(const RangeResult& result)
+{
+    const bool isWhole = m_revision == noRevision;
+    if (result.revision < m_revision) {
+        s_log.warning("The platform returned with an older state. Reading all of it.");
+        m_revision = noRevision;
+        return;
+    }
+    m_revision = result.revision;
+    bool isChanged = false;
+    for (const auto& value : result.values) {
+        try {
+            const auto record = decodeConfigRecord(value.key, value.value);
+            isChanged |= adopt(record);
+            const auto* held = m_store.find(value.key);
+            if (held && held->version > record.version)
+                restore(*held, value.revision);
+        } catch (const Error& error) {
+            s_log.error("A record does not parse.", { { "key", value.key }, { "reason", error.what() } });
+        }
+    }
+    if (isWhole)
+        restoreMissing(result);
+    if (isChanged && m_onChange)
+        m_onChange();
+}
+
+void ConfigSync::restoreMissing(const RangeResult& result)
+{
+    std::set<std::string> present;
+    for (const auto& value : result.values)
+        present.insert(value.key);
+    for (const auto& [key, record] : m_store.records()) {
+        if (!present.contains(key))
+            restore(record, noRevision);
+    }
+}
+
+void ConfigSync::restore(const ConfigRecord& record, Revision expected)
+{
+    s_log.warning("Restoring a newer record to the platform.",
+        { { "key", record.key }, { "version", std::to_string(record.version) } });
+    // A conflict or a lost answer needs no handling: the watch shows what the platform holds.
+    m_platform.write(record.key, encode(record), expected, [](WriteResult) {});
+}
+
+void ConfigSync::offer(const std::vector<ConfigRecord>& records)
+{
+    bool isChanged = false;
+    for (const auto& record : records)
+        isChanged |= adopt(record);
+    if (isChanged && m_onChange)
+        m_onChange();
+}
+
+bool ConfigSync::adopt(const ConfigRecord& record)
+{
+    if (!m_store.offer(record))
+        return false;
+    apply(record);
+    s_log.info("Adopted.", { { "key", record.key }, { "version", std::to_string(record.version) } });
+    return true;
+}
+
+void ConfigSync::apply(const ConfigRecord& record)
+{
+    try {
+        if (record.key == keys::text) {
+            applyText(record);
+        } else if (record.key.starts_with(s_grantsPrefix)) {
+            m_keys.replace(TeamId(record.key.substr(s_grantsPrefix.size())), decodeKeyGrants(record.body));
+        } else if (record.key.starts_with(s_dataCenterPrefix)) {
+            const DataCenterId id(record.key.substr(s_dataCenterPrefix.size()));
+            if (record.body == dataCenterOutBody)
+                m_out.insert(id);
+            else
+                m_out.erase(id);
+        }
+    } catch (const Error& error) {
+        s_log.error("A record cannot be applied.", { { "key", record.key }, { "reason", error.what() } });
+    }
+}
+
+void ConfigSync::applyText(const ConfigRecord& record) { m_text = parseFleetText(record.body, "text"); }
+
+} // namespace marigoldlink
--- /dev/null
+++ b/tools/marigold-entry/CallerApi.cpp
@@ -0,0 +1,289 @@
+// The callers' interface of an entry instance.
+#include "CallerApi.h"
+
+#include "../common/Jitter.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace marigoldlink {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr std::string_view s_queuePrefix = "/v1/queues/";
+    constexpr std::string_view s_queueSuffix = "/tasks";
+    constexpr std::string_view s_requestPrefix = "/v1/requests/";
+    constexpr std::string_view s_cancelSuffix = "/cancel";
+    constexpr std::string_view s_bearer = "Bearer ";
+    constexpr std::size_t s_longestRequestId = 128;
+    constexpr Duration s_claimRetry { 60 };
+    constexpr int s_mostClaimTries = 25;
+    constexpr Duration s_expirePeriod { 1000 };
+
+    std::string_view between(std::string_view text, std::string_view prefix, std::string_view suffix)
+    {
+        if (!text.starts_with(prefix) || !text.ends_with(suffix) || text.size() <= prefix.size() + suffix.size())
+            return {};
+        return text.substr(prefix.size(), text.size() - prefix.size() - suffix.size());
+    }
+
+    bool isTrue(std::string_view name, std::string_view value)
+    {
+        if (value.empty() || value == "false")
+            return false;
+        if (value == "true")
+            return true;
+        throw Error(ErrorKind::MalformedRequest, "header " + std::string(name) + " must be true or false");
+    }
+
+    Duration deadline(std::string_view text, Duration fallback, Duration longest)
+    {
+        if (text.empty())
+            return fallback;
+        std::int64_t value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (error != std::errc() || end != text.data() + text.size() || value <= 0 || value > longest.count()) {
+            throw Error(ErrorKind::MalformedRequest,
+                "header x-deadline-ms must be an integer between 1 and " + std::to_string(longest.count()));
+        }
+        return Duration(value);
+    }
+
+} // namespace
+
+CallerApi::CallerApi(EventLoop& loop, const EntrySettings& settings, Membership& membership, ConfigSync& config,
+    Freshness& freshness, Dispatcher& dispatcher, PeerLink& peers, Metrics& metrics)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_membership(membership)
+    , m_config(config)
+    , m_freshness(freshness)
+    , m_dispatcher(dispatcher)
+    , m_peers(peers)
+    , m_metrics(metrics)
+    , m_attempts({ settings.claimWindow, 16 * 1024 * 1024 })
+{
+    m_loop.every(s_expirePeriod, [this] { m_attempts.expire(m_loop.now()); });
+}
+
+void CallerApi::handle(const HttpRequest& request, HttpResponderPtr responder)
+{
+    try {
+        if (request.method != "POST")
+            throw Error(ErrorKind::MalformedRequest, "the method must be POST");
+        if (request.path.starts_with(s_requestPrefix))
+            serveCancel(request, *responder);
+        else
+            serveTask(request, std::move(responder));
+    } catch (const Error& error) {
+        refuse(*responder, error.kind(), error.what());
+    }
+}
+
+TeamId CallerApi::authenticated(const HttpRequest& request) const
+{
+    const auto header = request.header("authorization");
+    if (header.empty())
+        throw Error(ErrorKind::KeyMissing, "the queue needs a key: Authorization: Bearer KEY");
+    if (!header.starts_with(s_bearer))
+        throw Error(ErrorKind::KeyRejected, "the Authorization header must hold a bearer key");
+    const auto team = m_config.keys().authenticate(header.substr(s_bearer.size()));
+    if (!team)
+        throw Error(ErrorKind::KeyRejected, "the key is not in force");
+    if (!m_freshness.allowsKeyedWork(m_loop.now(), m_membership.otherMembers(), m_settings.whenCutOff))
+        throw Error(ErrorKind::KeyUnconfirmed, "this data centre is cut off and cannot confirm keys");
+    return *team;
+}
+
+JobRequest CallerApi::checked(const HttpRequest& request) const
+{
+    if (m_isRefusing)
+        throw Error(ErrorKind::Stopping, "this entry instance is stopping");
+    const auto* text = m_config.text();
+    if (!text)
+        throw Error(ErrorKind::NoConfiguration, "no configuration has arrived yet");
+    const QueueId id(std::string(between(request.path, s_queuePrefix, s_queueSuffix)));
+    const auto queue = text->queues.find(id);
+    if (queue == text->queues.end())
+        throw Error(ErrorKind::UnknownQueue, "no queue \"" + id.value() + "\"");
+    JobRequest job;
+    job.queue = id;
+    job.pool = text->pool(queue->second);
+    job.urgency = text->urgency(queue->second);
+    job.team = queue->second.isOpen ? queue->second.team : authenticated(request);
+    if (!text->teams.contains(job.team))
+        throw Error(ErrorKind::KeyRejected, "the team of the key is not in the text in force");
+    job.isIdempotent = isTrue("x-idempotent", request.header("x-idempotent"));
+    job.deadline = m_loop.now()
+        + deadline(request.header("x-deadline-ms"), m_settings.defaultDeadline, m_settings.longestDeadline);
+    job.body = std::string(request.body);
+    return job;
+}
+
+void CallerApi::serveTask(const HttpRequest& request, HttpResponderPtr responder)
+{
+    auto call = std::make_shared<Call>();
+    call->request = checked(request);
+    call->id = RequestId(std::string(request.header("x-request-id")));
+    call->responder = std::move(responder);
+    if (call->id.value().size() > s_longestRequestId)
+        throw Error(ErrorKind::MalformedRequest, "header x-request-id is longer than 128 bytes");
+    ++m_open;
+    if (call->id.empty() || call->request.isIdempotent)
+        submit(call);
+    else
+        claimThenSubmit(call);
+}
+
+void CallerApi::claimThenSubmit(const CallPtr& call)
+{
+    // The team is part of the id, so that teams cannot meet each other's ids.
+    const RequestId id(call->request.team.value() + "/" + call->id.value());
+    call->claim = Claim { id, m_membership.self(), m_attempts.begin(), ClaimState::Running };
+    ++call->claimTries;
+    m_peers.claim(*call->claim, [this, call](ClaimReplyResult result) { takeClaim(call, result); });
+}
+
+void CallerApi::takeClaim(const CallPtr& call, const ClaimReplyResult& result)
+{
+    using Verdict = ClaimAnswer::Verdict;
+    const auto verdict = result.reached ? result.answer.verdict : Verdict::NotOwner;
+    if (result.reached && verdict == Verdict::Granted) {
+        submit(call);
+        return;
+    }
+    // This attempt never runs, whatever the owner noted of it.
+    m_attempts.end(call->claim->attempt, { ErrorKind::OwnerUnreachable, {} }, m_loop.now());
+    m_peers.endClaim(*call->claim, true);
+    if (verdict == Verdict::Taken) {
+        const auto earlier = result.answer.claim;
+        m_peers.askOutcome(earlier, [this, call, earlier](std::optional<AttemptOutcome> outcome) {
+            takeEarlierOutcome(call, earlier, outcome);
+        });
+    } else if (verdict == Verdict::Unsettled) {
+        answer(call, { ErrorKind::OwnerUnsettled, {} });
+    } else {
+        claimAgain(call, ErrorKind::OwnerUnreachable);
+    }
+}
+
+void CallerApi::claimAgain(const CallPtr& call, ErrorKind otherwise)
+{
+    if (call->claimTries >= s_mostClaimTries || m_loop.now() >= call->request.deadline) {
+        answer(call, { otherwise, {} });
+        return;
+    }
+    m_loop.after(jittered(s_claimRetry), [this, call] { claimThenSubmit(call); });
+}
+
+void CallerApi::takeEarlierOutcome(
+    const CallPtr& call, const Claim& earlier, const std::optional<AttemptOutcome>& outcome)
+{
+    if (!outcome) {
+        answer(call, { ErrorKind::DuplicateRunning, {} });
+    } else if (outcome->isRunning) {
+        claimAgain(call, ErrorKind::DuplicateRunning);
+    } else if (outcome->hasAnswer) {
+        answer(call, outcome->outcome);
+    } else if (outcome->isKnown && earlier.state == ClaimState::Running && outcome->outcome.isNotRun()) {
+        m_peers.endClaim(earlier, true);
+        claimAgain(call, ErrorKind::OwnerUnreachable);
+    } else {
+        answer(call, { ErrorKind::DuplicateFinished, {} });
+    }
+}
+
+AttemptOutcome CallerApi::attemptOutcome(const Claim& claim) const
+{
+    if (claim.claimant != m_membership.self() || m_attempts.isForgotten(claim.attempt))
+        return {};
+    const auto* entry = m_attempts.find(claim.attempt);
+    if (!entry)
+        return { true, false, false, { ErrorKind::OwnerUnreachable, {} } };
+    return { true, entry->isRunning, entry->hasAnswer, entry->outcome };
+}
+
+void CallerApi::submit(const CallPtr& call)
+{
+    const auto key = std::pair(call->request.team, call->id);
+    const auto ticket = m_dispatcher.submit(call->request, [this, call, key](JobOutcome outcome) {
+        if (!call->id.empty())
+            m_tickets.erase(key);
+        answer(call, outcome);
+    });
+    if (!ticket) {
+        answer(call, { ErrorKind::QueueFull, {} });
+        return;
+    }
+    if (!call->id.empty())
+        m_tickets.insert_or_assign(key, *ticket);
+    call->request.body.clear();
+    if (call->responder->isOpen()) {
+        call->responder->onClosed([this, ticket = *ticket, isIdempotent = call->request.isIdempotent] {
+            // Nobody waits for the answer of an idempotent request any more.
+            if (isIdempotent)
+                m_dispatcher.cancel(ticket);
+        });
+    }
+}
+
+void CallerApi::answer(const CallPtr& call, const JobOutcome& outcome)
+{
+    --m_open;
+    if (call->claim) {
+        m_attempts.end(call->claim->attempt, outcome, m_loop.now());
+        m_peers.endClaim(*call->claim, outcome.isNotRun());
+    }
+    if (outcome.error) {
+        refuse(*call->responder, *outcome.error, outcome.body.empty() ? errorRow(*outcome.error).name : outcome.body);
+        return;
+    }
+    m_metrics.countAnswer(call->request.team);
+    call->responder->send({ 200, outcome.body, "application/json", { { "x-run-state", name(RunState::Ran) } } });
+}
+
+void CallerApi::refuse(HttpResponder& responder, ErrorKind kind, const std::string& message)
+{
+    const auto& row = errorRow(kind);
+    m_metrics.countRefusal(kind);
+    const Json body { { "error", row.name }, { "message", message }, { "run_state", name(row.runState) },
+        { "retryable", row.retryable } };
+    HttpAnswer answer { row.httpStatus, body.dump(-1, ' ', false, Json::error_handler_t::replace), "application/json",
+        { { "x-run-state", name(row.runState) } } };
+    if (row.retryAfterSeconds > 0)
+        answer.headers.emplace_back("retry-after", std::to_string(row.retryAfterSeconds));
+    responder.send(std::move(answer));
+}
+
+void CallerApi::serveCancel(const HttpRequest& request, HttpResponder& responder)
+{
+    const RequestId id(std::string(between(request.path, s_requestPrefix, s_cancelSuffix)));
+    const auto found = m_tickets.find({ authenticated(request), id });
+    const bool isFound = found != m_tickets.end();
+    if (isFound)
+        m_dispatcher.cancel(found->second);
+    responder.send({ isFound ? 200 : 404, Json { { "found", isFound } }.dump(), "application/json", {} });
+}
+
+std::optional<ErrorKind> CallerApi::runForwarded(JobRequest request, std::function<void(JobOutcome)> onDone)
+{
+    const auto* text = m_config.text();
+    if (m_isRefusing)
+        return ErrorKind::Stopping;
+    if (!text)
+        return ErrorKind::NoConfiguration;
+    if (m_config.isOut(m_settings.dataCenter))
+        return ErrorKind::DataCenterOut;
+    const auto queue = text->queues.find(request.queue);
+    if (queue == text->queues.end() || !text->teams.contains(request.team))
+        return ErrorKind::UnknownQueue;
+    request.pool = text->pool(queue->second);
+    request.urgency = text->urgency(queue->second);
+    if (!m_dispatcher.submit(std::move(request), std::move(onDone)))
+        return ErrorKind::QueueFull;
+    return std::nullopt;
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/tools/marigold-entry/CallerApi.h
@@ -0,0 +1,64 @@
+// The callers' HTTP interface: checks a request, claims its id, queues it and answers it whole.
+#pragma once
+
+#include "../common/ConfigSync.h"
+#include "AttemptLog.h"
+#include "Dispatcher.h"
+#include "EntrySettings.h"
+#include "PeerLink.h"
+
+namespace marigoldlink {
+
+class CallerApi {
+public:
+    CallerApi(EventLoop&, const EntrySettings&, Membership&, ConfigSync&, Freshness&, Dispatcher&, PeerLink&, Metrics&);
+
+    // Serves POST /v1/queues/QUEUE/tasks and POST /v1/requests/ID/cancel.
+    void handle(const HttpRequest&, HttpResponderPtr);
+
+    // New requests are refused from now on.
+    void refuseNew() { m_isRefusing = true; }
+    bool isIdle() const { return m_open == 0; }
+
+    // A peer asks for an attempt of this process.
+    AttemptOutcome attemptOutcome(const Claim&) const;
+    // Queues a request that a peer passed on. Returns why not, if it does not.
+    std::optional<ErrorKind> runForwarded(JobRequest, std::function<void(JobOutcome)>);
+
+private:
+    struct Call {
+        HttpResponderPtr responder;
+        JobRequest request;
+        RequestId id;
+        std::optional<Claim> claim;
+        int claimTries { 0 };
+    };
+    using CallPtr = std::shared_ptr<Call>;
+
+    JobRequest checked(const HttpRequest&) const;
+    TeamId authenticated(const HttpRequest&) const;
+    void serveTask(const HttpRequest&, HttpResponderPtr);
+    void serveCancel(const HttpRequest&, HttpResponder&);
+    void claimThenSubmit(const CallPtr&);
+    void takeClaim(const CallPtr&, const ClaimReplyResult&);
+    void claimAgain(const CallPtr&, ErrorKind otherwise);
+    void takeEarlierOutcome(const CallPtr&, const Claim&, const std::optional<AttemptOutcome>&);
+    void submit(const CallPtr&);
+    void answer(const CallPtr&, const JobOutcome&);
+    void refuse(HttpResponder&, ErrorKind, const std::string& message);
+
+    EventLoop& m_loop;
+    const EntrySettings& m_settings;
+    Membership& m_membership;
+    ConfigSync& m_config;
+    Freshness& m_freshness;
+    Dispatcher& m_dispatcher;
+    PeerLink& m_peers;
+    Metrics& m_metrics;
+    AttemptLog m_attempts;
+    std::map<std::pair<TeamId, RequestId>, Ticket> m_tickets; // for cancellation
+    bool m_isRefusing { false };
+    std::size_t m_open { 0 };
+};
+
+} // namespace marigoldlink
--- /dev/null
+++ b/tools/marigold-entry/Dispatcher.cpp
@@ -0,0 +1,416 @@
+// Dispatch of queued requests to workers and peers.
+#include "Dispatcher.h"
+
+#include "../common/Jitter.h"
+#include "marigoldlink/Support/Log.h"
+
+#include <cassert>
+#include <unistd.h>
+
+namespace marigoldlink {
+
+namespace {
+
+    constexpr Log s_log("dispatch");
+    constexpr Duration s_pumpPeriod { 20 };
+    constexpr Duration s_fullWorkerPause { 20 };
+    constexpr Duration s_resolveRetry { 200 };
+    // A started task gets this much longer than its caller waits, so that the caller's answer comes first.
+    constexpr Duration s_taskGrace { 250 };
+    // A request of a peer that is not started within this time goes back to the peer.
+    constexpr Duration s_longestForwardedWait { 200 };
+    constexpr int s_mostFailures = 3;
+    constexpr int s_mostStarts = 8;
+
+    std::uint64_t number(Ticket ticket) { return static_cast<std::uint64_t>(ticket); }
+
+} // namespace
+
+Dispatcher::Dispatcher(EventLoop& loop, HttpWorkers& workers, WorkerLeases& leases, EscrowSync& escrow, PeerLoad& peers,
+    Metrics& metrics, QueueLimits limits, TextOf textOf, IsHere isHere)
+    : m_loop(loop)
+    , m_workers(workers)
+    , m_leases(leases)
+    , m_escrow(escrow)
+    , m_peers(peers)
+    , m_metrics(metrics)
+    , m_limits(limits)
+    , m_textOf(std::move(textOf))
+    , m_isHere(std::move(isHere))
+{
+}
+
+void Dispatcher::start()
+{
+    m_loop.every(s_pumpPeriod, [this] {
+        expireDeadlines();
+        pump();
+    });
+}
+
+std::optional<Ticket> Dispatcher::submit(JobRequest request, std::function<void(JobOutcome)> onDone)
+{
+    auto& queue = m_queues.try_emplace(request.pool, m_limits).first->second;
+    const Ticket ticket { m_nextTicket };
+    if (!queue.push(ticket, request.team, request.urgency))
+        return std::nullopt;
+    ++m_nextTicket;
+    m_escrow.wake(request.team);
+    m_deadlines.emplace(request.deadline, ticket);
+    if (request.isForwarded)
+        m_loop.after(s_longestForwardedWait, [this, ticket] { returnForwarded(ticket); });
+    Job job;
+    job.request = std::move(request);
+    job.onDone = std::move(onDone);
+    job.submittedAt = m_loop.now();
+    m_jobs.emplace(number(ticket), std::move(job));
+    // The outcome must not arrive before the caller of submit() knows the ticket.
+    m_loop.after(Duration(0), [this] { pump(); });
+    return ticket;
+}
+
+std::size_t Dispatcher::queued(const PoolId& pool) const
+{
+    const auto found = m_queues.find(pool);
+    return found == m_queues.end() ? 0 : found->second.size();
+}
+
+std::size_t Dispatcher::queued(const TeamId& team) const
+{
+    std::size_t sum = 0;
+    for (const auto& [pool, queue] : m_queues)
+        sum += queue.size(team);
+    return sum;
+}
+
+std::set<TeamId> Dispatcher::queuedTeams() const
+{
+    std::set<TeamId> teams;
+    for (const auto& [pool, queue] : m_queues) {
+        for (const auto& [team, count] : queue.sizesByTeam())
+            teams.insert(team);
+    }
+    return teams;
+}
+
+EscrowDemand Dispatcher::demand(const TeamId& team, Slots upperLimit, Slots members) const
+{
+    EscrowDemand demand;
+    demand.running = m_escrow.holder().running(team);
+    demand.queued = static_cast<Slots>(queued(team));
+    demand.upperLimit = upperLimit;
+    demand.members = members;
+    demand.isWantedElsewhere = m_peers.isShortElsewhere(team);
+    return demand;
+}
+
+std::optional<Candidate> Dispatcher::candidate(const TeamId& id) const
+{
+    const auto* text = m_textOf();
+    const auto team = text->teams.find(id);
+    if (team == text->teams.end())
+        return std::nullopt;
+    return Candidate { id, team->second.share, m_escrow.holder().running(id) + m_peers.runningElsewhere(id) };
+}
+
+void Dispatcher::pump()
+{
+    if (m_isPumping || !m_textOf())
+        return;
+    m_isPumping = true;
+    for (auto& [pool, queue] : m_queues) {
+        if (m_isHere())
+            pumpPool(pool, queue);
+        if (queue.size() > 0)
+            forwardFrom(pool, queue);
+        if (queue.size() > 0 && m_isHere())
+            preemptFor(pool, queue);
+    }
+    m_isPumping = false;
+}
+
+void Dispatcher::pumpPool(const PoolId& pool, PoolQueue& queue)
+{
+    while (queue.size() > 0) {
+        const auto link = m_leases.choose(pool);
+        if (!link)
+            return;
+        const auto ticket = queue.pop(
+            [this](const TeamId& team) { return m_escrow.holder().canStart(team) ? candidate(team) : std::nullopt; });
+        if (!ticket) {
+            wakeTeams();
+            return;
+        }
+        startTask(*ticket, link);
+    }
+}
+
+void Dispatcher::wakeTeams()
+{
+    for (const auto& team : queuedTeams())
+        m_escrow.wake(team);
+}
+
+void Dispatcher::forwardFrom(const PoolId& pool, PoolQueue& queue)
+{
+    while (queue.size() > 0) {
+        const auto ticket = queue.pop(
+            [&](const TeamId& team) { return m_peers.peerFor(pool, team) ? candidate(team) : std::nullopt; });
+        if (!ticket)
+            return;
+        const auto& job = m_jobs.at(number(*ticket));
+        if (job.request.isForwarded) {
+            queue.pushFront(*ticket, job.request.team, job.request.urgency);
+            return;
+        }
+        forwardTask(*ticket, *m_peers.peerFor(pool, job.request.team));
+    }
+}
+
+// Asks for a checkpoint of one deferrable task for each urgent request that waits for a slot.
+void Dispatcher::preemptFor(const PoolId& pool, PoolQueue& queue)
+{
+    if (m_leases.choose(pool))
+        return;
+    auto wanted = queue.size(Urgency::Urgent, [this](const TeamId& team) { return m_escrow.holder().canStart(team); });
+    for (auto& [ticket, job] : m_jobs) {
+        if (wanted == 0)
+            return;
+        if (job.request.pool != pool || job.phase != Job::Phase::Running || job.request.urgency != Urgency::Deferrable)
+            continue;
+        --wanted;
+        if (job.isPreempting)
+            continue;
+        job.isPreempting = true;
+        m_workers.checkpoint(job.link->record.endpoint, job.task, [](StopResult) {});
+    }
+}
+
+void Dispatcher::startTask(Ticket ticket, const WorkerLinkPtr& link)
+{
+    auto& job = m_jobs.at(number(ticket));
+    job.escrow = m_escrow.sharedHolder();
+    const bool mayStart = job.escrow->tryStart(job.request.team);
+    assert(mayStart && "the queue offers only teams that may start");
+    (void)mayStart;
+    job.phase = Job::Phase::Running;
+    job.isPreempting = false;
+    job.startedAt = m_loop.now();
+    ++job.starts;
+    job.task = TaskId(std::to_string(marigoldlink::number(job.escrow->self())) + "-" + std::to_string(m_nextTask++));
+    job.link = link;
+    job.lease = link->lease;
+    m_leases.taskStarted(*link);
+    if (job.starts == 1)
+        m_metrics.observeQueueWait(job.request.team, job.request.urgency, job.startedAt - job.submittedAt);
+
+    TaskStart start;
+    start.task = job.task;
+    start.lease = job.lease;
+    start.team = job.request.team;
+    start.body = job.request.body;
+    start.checkpoint = job.request.checkpoint;
+    start.timeout = std::max(Duration(1), job.request.deadline - m_loop.now()) + s_taskGrace;
+    m_workers.start(link->record.endpoint, start, [this, ticket](TaskResult result) {
+        takeResult(ticket, std::move(result));
+        pump();
+    });
+}
+
+// Frees the slot and the escrow of a start that surely does not run any more.
+void Dispatcher::endStart(Job& job)
+{
+    m_leases.taskEnded(*job.link);
+    job.escrow->finish(job.request.team);
+    m_escrow.wake(job.request.team);
+    job.link = nullptr;
+    job.escrow = nullptr;
+}
+
+void Dispatcher::takeResult(Ticket ticket, TaskResult result)
+{
+    auto& job = m_jobs.at(number(ticket));
+    using Status = TaskResult::Status;
+    auto link = job.link;
+    if (result.status == Status::Lost) {
+        job.phase = Job::Phase::Resolving;
+        resolve(ticket, m_loop.now());
+        return;
+    }
+    endStart(job);
+    job.mayHaveRun
+        |= result.status == Status::Failed || result.status == Status::Checkpointed || result.status == Status::Stopped;
+    switch (result.status) {
+    case Status::Finished:
+        m_leases.taskSucceeded(*link);
+        m_metrics.observeRun(job.request.team, job.request.urgency, m_loop.now() - job.startedAt);
+        finish(ticket, { std::nullopt, std::move(result.body) });
+        return;
+    case Status::Failed:
+        m_leases.taskFailed(*link);
+        ++job.failures;
+        if (job.request.isIdempotent && job.failures < s_mostFailures)
+            retryOrFail(ticket, ErrorKind::TaskFailed);
+        else
+            finish(ticket, { ErrorKind::TaskFailed, std::move(result.body) });
+        return;
+    case Status::Checkpointed:
+        job.request.checkpoint = std::move(result.body);
+        job.starts = 0;
+        requeue(ticket);
+        return;
+    case Status::Stopped:
+        if (job.request.isIdempotent)
+            retryOrFail(ticket, ErrorKind::WorkerLost);
+        else
+            finish(ticket, { ErrorKind::WorkerLost, {} });
+        return;
+    case Status::Full:
+        m_leases.workerFull(*link);
+        m_metrics.countWastedStart();
+        requeue(ticket);
+        return;
+    case Status::LeaseLapsed:
+        m_leases.leaseLapsed(*link);
+        requeue(ticket);
+        return;
+    case Status::Refused:
+    case Status::NotSent:
+        m_leases.avoid(*link, s_fullWorkerPause);
+        requeue(ticket);
+        return;
+    case Status::Lost:
+        return;
+    }
+}
+
+// Finds out what became of a start without an answer. The escrow stays in use until that is certain.
+void Dispatcher::resolve(Ticket ticket, TimePoint since)
+{
+    auto& job = m_jobs.at(number(ticket));
+    if (m_leases.hasSurelyLapsed(*job.link, job.lease)) {
+        resolved(ticket, StopResult::Unreachable);
+        return;
+    }
+    m_workers.stop(job.link->record.endpoint, job.task, [this, ticket, since](StopResult result) {
+        if (result != StopResult::Unreachable) {
+            resolved(ticket, result);
+            return;
+        }
+        m_loop.after(jittered(s_resolveRetry), [this, ticket, since] { resolve(ticket, since); });
+    });
+}
+
+void Dispatcher::resolved(Ticket ticket, StopResult result)
+{
+    auto& job = m_jobs.at(number(ticket));
+    endStart(job);
+    job.mayHaveRun |= result != StopResult::NeverStarted;
+    s_log.info("A start without an answer is resolved.", { { "task", job.task.value() } });
+    if (result == StopResult::NeverStarted)
+        requeue(ticket);
+    else if (job.request.isIdempotent)
+        retryOrFail(ticket, ErrorKind::WorkerLost);
+    else if (result == StopResult::Finished)
+        finish(ticket, { ErrorKind::DuplicateFinished, {} });
+    else
+        finish(ticket, { ErrorKind::WorkerLost, {} });
+    pump();
+}
+
+void Dispatcher::retryOrFail(Ticket ticket, ErrorKind kind)
+{
+    const auto& job = m_jobs.at(number(ticket));
+    if (job.starts >= s_mostStarts || m_loop.now() >= job.request.deadline)
+        finish(ticket, { kind, {} });
+    else
+        requeue(ticket);
+}
+
+void Dispatcher::requeue(Ticket ticket)
+{
+    auto& job = m_jobs.at(number(ticket));
+    if (!job.onDone || m_loop.now() >= job.request.deadline) {
+        finish(ticket, { endingError(job), {} });
+        return;
+    }
+    job.phase = Job::Phase::Queued;
+    m_queues.at(job.request.pool).pushFront(ticket, job.request.team, job.request.urgency);
+}
+
+void Dispatcher::forwardTask(Ticket ticket, HolderId peer)
+{
+    auto& job = m_jobs.at(number(ticket));
+    job.phase = Job::Phase::Forwarded;
+    const auto remaining = std::max(Duration(1), job.request.deadline - m_loop.now());
+    m_metrics.countForward();
+    m_peers.forward(peer, job.request, remaining, [this, ticket](JobOutcome outcome) {
+        auto& job = m_jobs.at(number(ticket));
+        job.mayHaveRun |= !outcome.isNotRun();
+        const bool mayTryAgain = outcome.isNotRun() || (job.request.isIdempotent && outcome.error);
+        if (mayTryAgain && m_loop.now() < job.request.deadline && job.onDone) {
+            job.phase = Job::Phase::Queued;
+            m_queues.at(job.request.pool).pushFront(ticket, job.request.team, job.request.urgency);
+        } else {
+            finish(ticket, std::move(outcome));
+        }
+        pump();
+    });
+}
+
+void Dispatcher::returnForwarded(Ticket ticket)
+{
+    const auto found = m_jobs.find(number(ticket));
+    if (found == m_jobs.end() || found->second.phase != Job::Phase::Queued || found->second.mayHaveRun)
+        return;
+    const auto& request = found->second.request;
+    m_queues.at(request.pool).remove(ticket, request.team, request.urgency);
+    finish(ticket, { m_isHere() ? ErrorKind::NoCapacity : ErrorKind::DataCenterOut, {} });
+}
+
+void Dispatcher::finish(Ticket ticket, JobOutcome outcome)
+{
+    const auto found = m_jobs.find(number(ticket));
+    auto job = std::move(found->second);
+    m_jobs.erase(found);
+    assert(!job.escrow && "a request ends after its task");
+    if (job.onDone)
+        job.onDone(std::move(outcome));
+}
+
+void Dispatcher::cancel(Ticket ticket)
+{
+    const auto found = m_jobs.find(number(ticket));
+    if (found == m_jobs.end())
+        return;
+    auto& job = found->second;
+    if (job.phase == Job::Phase::Queued) {
+        m_queues.at(job.request.pool).remove(ticket, job.request.team, job.request.urgency);
+        finish(ticket, { ErrorKind::Cancelled, {} });
+    } else if (job.phase == Job::Phase::Running) {
+        m_workers.stop(job.link->record.endpoint, job.task, [](StopResult) {});
+    }
+}
+
+void Dispatcher::expireDeadlines()
+{
+    const auto now = m_loop.now();
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        const auto ticket = m_deadlines.begin()->second;
+        m_deadlines.erase(m_deadlines.begin());
+        const auto found = m_jobs.find(number(ticket));
+        if (found == m_jobs.end())
+            continue;
+        auto& job = found->second;
+        if (job.phase == Job::Phase::Queued) {
+            m_queues.at(job.request.pool).remove(ticket, job.request.team, job.request.urgency);
+            finish(ticket, { endingError(job), {} });
+        } else if (job.phase == Job::Phase::Resolving && job.onDone) {
+            // The caller's time is up while the fate of the task is open.
+            auto onDone = std::exchange(job.onDone, nullptr);
+            onDone({ ErrorKind::WorkerLost, {} });
+        }
+    }
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/tools/marigold-entry/Entry.cpp
@@ -0,0 +1,299 @@
+// Wiring and life cycle of an entry instance.
+#include "Entry.h"
+
+#include "../common/Jitter.h"
+#include "marigoldlink/Coordination/Rendezvous.h"
+#include "marigoldlink/Protocol/RecordCodec.h"
+#include "marigoldlink/Support/Log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marigoldlink {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr Log s_log("entry");
+    constexpr Duration s_memberCheckPeriod { 250 };
+    constexpr Duration s_leasePollPeriod { 300 };
+    constexpr Duration s_drainPollPeriod { 20 };
+
+} // namespace
+
+Entry::Entry(EventLoop& loop, EntrySettings settings)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_client(loop)
+    , m_platform(m_client, m_settings.platform)
+    , m_workers(m_client)
+    , m_freshness({})
+    , m_config(loop, m_platform, m_freshness)
+    , m_server(loop, { m_settings.bodyBytes, Duration(10000) },
+          [this](const HttpRequest& request, HttpResponderPtr responder) { handle(request, std::move(responder)); })
+{
+}
+
+Endpoint Entry::start()
+{
+    m_endpoint = m_server.listen(m_settings.listen);
+    m_membership = std::make_unique<Membership>(
+        m_loop, m_platform, Member { HolderId {}, m_settings.dataCenter, m_endpoint, MemberState::Active });
+    m_leases = std::make_unique<WorkerLeases>(m_loop, m_platform, m_workers, *m_membership, m_settings.workerLease);
+    m_escrow = std::make_unique<EscrowSync>(
+        m_loop, m_platform, *m_membership,
+        [this](const TeamId& team) {
+            const auto members = static_cast<Slots>(m_membership->record().members.size());
+            return m_dispatcher->demand(team, limit(team).upperLimit, members);
+        },
+        [this](const TeamId& team) { return limit(team); });
+    m_peers = std::make_unique<PeerLink>(
+        m_loop, m_client, *m_membership, m_config, m_freshness, m_settings.heartbeat, m_settings.claimWindow);
+    m_dispatcher = std::make_unique<Dispatcher>(
+        m_loop, m_workers, *m_leases, *m_escrow, *m_peers, m_metrics, m_settings.queueLimits,
+        [this] { return m_config.text(); }, [this] { return !m_config.isOut(m_settings.dataCenter); });
+    m_callers = std::make_unique<CallerApi>(
+        m_loop, m_settings, *m_membership, m_config, m_freshness, *m_dispatcher, *m_peers, m_metrics);
+
+    m_config.onChange([this] { m_dispatcher->pump(); });
+    m_membership->onChange([this] { membersChanged(); });
+    m_leases->onChange([this] { m_dispatcher->pump(); });
+    m_escrow->onChange([this] { m_dispatcher->pump(); });
+    m_config.start();
+    m_leases->start();
+    m_escrow->start();
+    m_dispatcher->start();
+    m_peers->start({ [this](wire::Heartbeat& beat) { fillHeartbeat(beat); },
+        [this](JobRequest request, std::function<void(JobOutcome)> onDone) {
+            return m_callers->runForwarded(std::move(request), std::move(onDone));
+        },
+        [this](const Claim& claim) { return m_callers->attemptOutcome(claim); }, [this] { m_dispatcher->pump(); } });
+    m_loop.every(s_memberCheckPeriod, [this] { watchSilentMembers(); });
+    join();
+    return m_endpoint;
+}
+
+void Entry::join()
+{
+    m_isJoining = true;
+    m_membership->start([this] {
+        m_isJoining = false;
+        m_leases->reset();
+        m_escrow->reset();
+        m_peers->reset();
+        if (m_stage == Stage::Starting)
+            m_stage = Stage::Serving;
+    });
+}
+
+void Entry::membersChanged()
+{
+    m_peers->membersChanged();
+    const auto self = m_membership->self();
+    const auto* member = m_membership->record().find(self);
+    const bool isExpelled = number(self) != 0 && (!member || member->state == MemberState::Removing);
+    if (isExpelled && !m_isJoining && m_stage == Stage::Serving) {
+        s_log.warning("Another member removes this one. Joining again.");
+        join();
+    }
+    for (const auto& [team, account] : m_escrow->holder().accounts())
+        m_escrow->wake(team);
+}
+
+TeamLimit Entry::limit(const TeamId& id) const
+{
+    const auto* text = m_config.text();
+    if (!text)
+        return {};
+    const auto team = text->teams.find(id);
+    // A team that left the text runs nothing more.
+    return { team == text->teams.end() ? 0 : team->second.upperLimit, m_config.textVersion() };
+}
+
+void Entry::handle(const HttpRequest& request, HttpResponderPtr responder)
+{
+    if (request.path.starts_with("/v1/")) {
+        m_callers->handle(request, std::move(responder));
+    } else if (request.path.starts_with("/peer/")) {
+        m_peers->handle(request, std::move(responder));
+    } else if (request.path == "/healthz") {
+        const bool isReady = m_stage == Stage::Serving && m_config.text();
+        responder->send({ isReady ? 200 : 503, isReady ? "ready" : "not ready", "text/plain", {} });
+    } else if (request.path == "/metrics") {
+        responder->send({ 200, m_metrics.text(), "text/plain; version=0.0.4", {} });
+    } else if (request.path == "/status") {
+        answerStatus(*responder);
+    } else {
+        responder->send({ 404, "no such path", "text/plain", {} });
+    }
+}
+
+void Entry::answerStatus(HttpResponder& responder) const
+{
+    const auto now = m_loop.now();
+    Json status;
+    status["holder"] = number(m_membership->self());
+    status["active"] = m_membership->isActive();
+    status["data_center"] = m_settings.dataCenter.value();
+    status["data_center_out"] = m_config.isOut(m_settings.dataCenter);
+    status["contact"] = name(m_freshness.contact(now, m_membership->otherMembers()));
+    status["members_version"] = m_membership->record().version;
+    status["members"] = m_membership->record().members.size();
+    status["requests"] = m_dispatcher->jobs();
+    status["config"] = Json::object();
+    for (const auto& [key, version] : m_config.store().versions())
+        status["config"][key] = version;
+    status["escrow"] = Json::object();
+    for (const auto& [team, account] : m_escrow->holder().accounts())
+        status["escrow"][team.value()] = { { "held", account.held }, { "running", account.running } };
+    status["workers"] = Json::object();
+    for (const auto& [id, link] : m_leases->links()) {
+        status["workers"][id.value()] = { { "pool", link->record.pool.value() }, { "slots", link->slots },
+            { "own_running", link->ownRunning }, { "leased", !link->lease.empty() } };
+    }
+    responder.send({ 200, status.dump(), "application/json", {} });
+}
+
+void Entry::fillHeartbeat(wire::Heartbeat& beat) const
+{
+    const auto* text = m_config.text();
+    const bool isServing = m_stage == Stage::Serving && text && !m_config.isOut(m_settings.dataCenter);
+    if (text) {
+        for (const auto& [id, pool] : text->pools) {
+            wire::PoolLoad load;
+            load.pool = id.value();
+            load.freeSlots = isServing ? m_leases->freeSlots(id) : 0;
+            load.queued = static_cast<std::int64_t>(m_dispatcher->queued(id));
+            if (load.freeSlots > 0 || load.queued > 0)
+                beat.pools.push_back(load);
+        }
+    }
+    auto teams = m_dispatcher->queuedTeams();
+    for (const auto& [team, account] : m_escrow->holder().accounts())
+        teams.insert(team);
+    for (const auto& team : teams) {
+        wire::TeamLoad load;
+        load.team = team.value();
+        load.running = m_escrow->holder().running(team);
+        load.queued = static_cast<std::int64_t>(m_dispatcher->queued(team));
+        load.idleEscrow = m_escrow->holder().held(team) - load.running;
+        load.isShort = load.queued > load.idleEscrow && load.running + load.idleEscrow < limit(team).upperLimit;
+        if (load.running > 0 || load.queued > 0 || load.idleEscrow > 0)
+            beat.teams.push_back(load);
+    }
+}
+
+// Dead members.
+
+void Entry::watchSilentMembers()
+{
+    if (!m_membership->isActive() || m_stage != Stage::Serving)
+        return;
+    const auto now = m_loop.now();
+    const auto& record = m_membership->record();
+    std::set<DataCenterId> liveDataCenters;
+    for (const auto& member : record.members) {
+        if (now - m_peers->lastAnswer(member.holder) <= m_settings.memberSilence)
+            liveDataCenters.insert(member.dataCenter);
+    }
+    for (const auto& member : record.members) {
+        if (member.holder == m_membership->self() || m_removals.contains(member.holder))
+            continue;
+        if (now - m_peers->lastAnswer(member.holder) <= m_settings.memberSilence)
+            continue;
+        // A live member of the same data centre reaches the workers best. Others act when there is none.
+        const bool isNear = member.dataCenter == m_settings.dataCenter;
+        if (isNear || !liveDataCenters.contains(member.dataCenter))
+            removeMember(member.holder);
+    }
+}
+
+void Entry::removeMember(HolderId holder)
+{
+    const auto dataCenter = m_membership->record().find(holder)->dataCenter;
+    s_log.warning("A member is silent. Removing it.", { { "holder", std::to_string(number(holder)) } });
+    m_removals.insert(holder);
+    m_membership->markRemoving(holder, [this, holder, dataCenter] { pollLeasesOf(holder, dataCenter); });
+}
+
+// The member is removed once no worker of its data centre has a valid lease of it. It cannot open another one: a new
+// lease is used only after a read of the member record that shows the member as active.
+void Entry::pollLeasesOf(HolderId holder, const DataCenterId& dataCenter)
+{
+    if (!m_membership->record().find(holder)) {
+        m_removals.erase(holder);
+        return;
+    }
+    m_platform.range(keys::instancePrefix, [this, holder, dataCenter](RangeResult result) {
+        struct Poll {
+            std::size_t open { 1 };
+            bool isClear { true };
+        };
+        auto poll = std::make_shared<Poll>();
+        poll->isClear = result.status == StoreStatus::Ok;
+        const auto done = [this, poll, holder, dataCenter](bool isClear) {
+            poll->isClear &= isClear;
+            if (--poll->open > 0)
+                return;
+            if (poll->isClear)
+                m_membership->removeLost(holder, [this, holder] { m_removals.erase(holder); });
+            else
+                m_loop.after(
+                    jittered(s_leasePollPeriod), [this, holder, dataCenter] { pollLeasesOf(holder, dataCenter); });
+        };
+        for (const auto& value : result.values) {
+            const auto record = decodeInstanceRecord(value.value);
+            if (record.dataCenter != dataCenter)
+                continue;
+            ++poll->open;
+            m_workers.leasesOf(record.endpoint, holder,
+                [done](HolderResult worker) { done(worker.reached && worker.validLeases == 0); });
+        }
+        done(true);
+    });
+}
+
+// Planned stop.
+
+void Entry::stop()
+{
+    if (m_stage == Stage::Draining || m_stage == Stage::HandingOver)
+        return;
+    s_log.info("Stopping: unready from now on.");
+    m_stage = Stage::Draining;
+    // The balancer sees the health answer first. Requests that come meanwhile are still served.
+    m_loop.after(m_settings.drainNotice, [this] {
+        m_callers->refuseNew();
+        waitUntilDrained();
+    });
+}
+
+void Entry::waitUntilDrained()
+{
+    if (m_callers->isIdle() && m_dispatcher->jobs() == 0) {
+        handOver();
+        return;
+    }
+    m_loop.after(s_drainPollPeriod, [this] { waitUntilDrained(); });
+}
+
+void Entry::handOver()
+{
+    m_stage = Stage::HandingOver;
+    s_log.info("Every request is answered. Handing over.");
+    m_membership->markLeaving([this] { m_escrow->giveBack([this] { waitUntilHandedOver(); }); });
+}
+
+void Entry::waitUntilHandedOver()
+{
+    if (m_peers->hasHandedOver()) {
+        m_membership->leave([this] {
+            s_log.info("Stopped.");
+            m_loop.stop();
+        });
+        return;
+    }
+    m_loop.after(s_drainPollPeriod, [this] { waitUntilHandedOver(); });
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/tools/marigold-entry/Entry.h
@@ -0,0 +1,60 @@
+// One entry instance: wires its parts, joins the members, removes dead ones, and stops gracefully.
+#pragma once
+
+#include "CallerApi.h"
+#include "EntrySettings.h"
+#include "EscrowSync.h"
+#include "Membership.h"
+#include "PeerLink.h"
+#include "WorkerLeases.h"
+
+namespace marigoldlink {
+
+class Entry {
+public:
+    Entry(EventLoop&, EntrySettings);
+
+    // Listens and returns the endpoint in use.
+    Endpoint start();
+
+    // Planned stop: turns unready, finishes every request, hands over and ends the loop.
+    void stop();
+
+private:
+    enum class Stage { Starting, Serving, Draining, HandingOver };
+
+    void handle(const HttpRequest&, HttpResponderPtr);
+    void answerStatus(HttpResponder&) const;
+    void join();
+    void membersChanged();
+    void fillHeartbeat(wire::Heartbeat&) const;
+    TeamLimit limit(const TeamId&) const;
+    void watchSilentMembers();
+    void removeMember(HolderId);
+    void pollLeasesOf(HolderId, const DataCenterId&);
+    void waitUntilDrained();
+    void handOver();
+    void waitUntilHandedOver();
+
+    EventLoop& m_loop;
+    EntrySettings m_settings;
+    HttpClient m_client;
+    HttpPlatform m_platform;
+    HttpWorkers m_workers;
+    Freshness m_freshness;
+    Metrics m_metrics;
+    ConfigSync m_config;
+    std::unique_ptr<Membership> m_membership;
+    std::unique_ptr<WorkerLeases> m_leases;
+    std::unique_ptr<EscrowSync> m_escrow;
+    std::unique_ptr<PeerLink> m_peers;
+    std::unique_ptr<Dispatcher> m_dispatcher;
+    std::unique_ptr<CallerApi> m_callers;
+    HttpServer m_server;
+    Endpoint m_endpoint;
+    Stage m_stage { Stage::Starting };
+    std::set<HolderId> m_removals; // members whose removal this process works on
+    bool m_isJoining { false };
+};
+
+} // namespace marigoldlink
--- /dev/null
+++ b/tools/marigold-entry/Membership.cpp
@@ -0,0 +1,205 @@
+// Changes of the member record by compare-and-swap.
+#include "Membership.h"
+
+#include "../common/Jitter.h"
+#include "marigoldlink/Protocol/RecordCodec.h"
+#include "marigoldlink/Support/Log.h"
+
+#include <algorithm>
+
+namespace marigoldlink {
+
+namespace {
+
+    constexpr Log s_log("members");
+    constexpr Duration s_retryDelay { 150 };
+    // Lost members stay in the record for so many later versions, so that every owner learns of them.
+    constexpr std::size_t s_lostKept = 16;
+
+    Member* findMember(MemberRecord& record, HolderId holder)
+    {
+        const auto found = std::find_if(record.members.begin(), record.members.end(),
+            [holder](const Member& member) { return member.holder == holder; });
+        return found == record.members.end() ? nullptr : &*found;
+    }
+
+    bool eraseMember(MemberRecord& record, HolderId holder)
+    {
+        return std::erase_if(record.members, [holder](const Member& member) { return member.holder == holder; }) > 0;
+    }
+
+} // namespace
+
+Membership::Membership(EventLoop& loop, HttpPlatform& platform, Member self)
+    : m_loop(loop)
+    , m_platform(platform)
+    , m_self(std::move(self))
+{
+}
+
+bool Membership::isActive() const
+{
+    const auto* member = m_isJoined ? m_record.find(m_self.holder) : nullptr;
+    return member && member->state == MemberState::Active;
+}
+
+std::set<HolderId> Membership::otherMembers() const
+{
+    std::set<HolderId> others;
+    for (const auto& member : m_record.members) {
+        if (member.holder != m_self.holder)
+            others.insert(member.holder);
+    }
+    return others;
+}
+
+void Membership::readThen(std::function<void(MemberRecord, Revision)> callback)
+{
+    const auto sentAt = m_loop.now();
+    m_platform.read(keys::members, [this, sentAt, callback = std::move(callback)](ReadResult result) {
+        if (result.status == StoreStatus::Missing) {
+            callback({}, noRevision);
+            return;
+        }
+        if (result.status != StoreStatus::Ok) {
+            m_loop.after(jittered(s_retryDelay), [this, callback] { readThen(callback); });
+            return;
+        }
+        auto record = decodeMemberRecord(result.value.value);
+        offer(record);
+        const auto* self = m_isJoined ? record.find(m_self.holder) : nullptr;
+        if (self && self->state == MemberState::Active)
+            m_confirmedAt = sentAt;
+        callback(std::move(record), result.value.revision);
+    });
+}
+
+void Membership::update(Change change, Done done)
+{
+    readThen([this, change = std::move(change), done = std::move(done)](MemberRecord record, Revision revision) {
+        if (!change(record)) {
+            done();
+            return;
+        }
+        ++record.version;
+        m_platform.write(keys::members, encode(record), revision, [this, change, done, record](WriteResult result) {
+            if (result.status != StoreStatus::Ok) {
+                // After a lost answer the next read shows whether the change is there already.
+                m_loop.after(jittered(s_retryDelay), [this, change, done] { update(change, done); });
+                return;
+            }
+            offer(record);
+            done();
+        });
+    });
+}
+
+void Membership::start(Done onJoined)
+{
+    m_isJoined = false;
+    m_confirmedAt.reset();
+    // The id that the last try wrote; it is in the record if only the answer was lost.
+    auto candidate = std::make_shared<HolderId>();
+    update(
+        [this, candidate](MemberRecord& record) {
+            const auto* earlier = record.find(*candidate);
+            if (earlier && earlier->endpoint == m_self.endpoint)
+                return false;
+            *candidate = HolderId(record.nextHolder++);
+            auto member = m_self;
+            member.holder = *candidate;
+            record.members.push_back(member);
+            record.ownersVersion = record.version + 1;
+            return true;
+        },
+        [this, candidate, onJoined = std::move(onJoined)] {
+            m_self.holder = *candidate;
+            m_isJoined = true;
+            s_log.info("Joined.", { { "holder", std::to_string(number(m_self.holder)) } });
+            onJoined();
+            confirm();
+            if (!std::exchange(m_isWatching, true))
+                watch();
+        });
+}
+
+void Membership::watch()
+{
+    m_platform.watch(keys::members, m_watchedTo, [this](RangeResult result) {
+        if (result.status != StoreStatus::Ok) {
+            m_loop.after(jittered(s_retryDelay), [this] { watch(); });
+            return;
+        }
+        // An older revision means that the platform lost state; everything counts as new again.
+        m_watchedTo = result.revision < m_watchedTo ? noRevision : result.revision;
+        for (const auto& value : result.values)
+            offer(decodeMemberRecord(value.value));
+        watch();
+    });
+}
+
+void Membership::confirm()
+{
+    if (m_isConfirming)
+        return;
+    m_isConfirming = true;
+    readThen([this](const MemberRecord&, Revision) { m_isConfirming = false; });
+}
+
+void Membership::offer(const MemberRecord& record)
+{
+    if (record.version <= m_record.version)
+        return;
+    m_record = record;
+    if (m_onChange)
+        m_onChange();
+}
+
+void Membership::markLeaving(Done done)
+{
+    update(
+        [holder = m_self.holder](MemberRecord& record) {
+            auto* member = findMember(record, holder);
+            if (!member || member->state == MemberState::Leaving)
+                return false;
+            member->state = MemberState::Leaving;
+            record.ownersVersion = record.version + 1;
+            return true;
+        },
+        std::move(done));
+}
+
+void Membership::leave(Done done)
+{
+    update([holder = m_self.holder](MemberRecord& record) { return eraseMember(record, holder); }, std::move(done));
+}
+
+void Membership::markRemoving(HolderId holder, Done done)
+{
+    update(
+        [holder](MemberRecord& record) {
+            auto* member = findMember(record, holder);
+            if (!member || member->state == MemberState::Removing)
+                return false;
+            member->state = MemberState::Removing;
+            return true;
+        },
+        std::move(done));
+}
+
+void Membership::removeLost(HolderId holder, Done done)
+{
+    update(
+        [holder](MemberRecord& record) {
+            if (!eraseMember(record, holder))
+                return false;
+            record.lost.push_back(holder);
+            if (record.lost.size() > s_lostKept)
+                record.lost.erase(record.lost.begin());
+            record.ownersVersion = record.version + 1;
+            return true;
+        },
+        std::move(done));
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/tools/marigold-entry/WorkerLeases.h
@@ -0,0 +1,87 @@
+// Leases on the workers of this data centre, and the choice of a worker for a task.
+#pragma once
+
+#include "Membership.h"
+#include "marigoldlink/Transport/HttpPlatform.h"
+#include "marigoldlink/Transport/HttpWorkers.h"
+
+#include <memory>
+#include <optional>
+
+namespace marigoldlink {
+
+// One worker and this entry instance's lease on it.
+struct WorkerLink {
+    InstanceRecord record;
+    bool isLeaving { false }; // from the platform's instance list
+    LeaseId lease; // empty without a lease
+    bool isOpening { false };
+    TimePoint openedAt;
+    // The lease lapses at the latest a lease time after this.
+    TimePoint lastRenewalSentAt;
+    TimePoint lastAnswerAt;
+    bool isRenewing { false };
+    Slots slots { 0 };
+    Slots reportedRunning { 0 }; // tasks of all holders at the last answer
+    Slots ownRunning { 0 };
+    Slots ownChangeSinceReport { 0 };
+    TimePoint avoidUntil;
+    int consecutiveFailures { 0 };
+
+    Slots freeSlots() const;
+};
+
+using WorkerLinkPtr = std::shared_ptr<WorkerLink>;
+
+class WorkerLeases {
+public:
+    WorkerLeases(EventLoop&, HttpPlatform&, HttpWorkers&, Membership&, Duration leaseTime);
+
+    void start();
+    void onChange(std::function<void()> callback) { m_onChange = std::move(callback); }
+
+    // A worker of the pool with a usable lease and a free slot, or null.
+    WorkerLinkPtr choose(const PoolId&) const;
+    Slots freeSlots(const PoolId&) const;
+
+    void taskStarted(WorkerLink&);
+    void taskEnded(WorkerLink&);
+    // The worker said that it has no free slot.
+    void workerFull(WorkerLink&);
+    void leaseLapsed(WorkerLink&);
+    void taskFailed(WorkerLink&);
+    void taskSucceeded(WorkerLink& link) { link.consecutiveFailures = 0; }
+    void avoid(WorkerLink&, Duration);
+
+    // True when tasks under the lease have surely ended: it lapsed at the worker.
+    bool hasSurelyLapsed(const WorkerLink&, const LeaseId&) const;
+
+    const std::map<InstanceId, WorkerLinkPtr>& links() const { return m_links; }
+    // Every instance record known, of all data centres.
+    const std::map<InstanceId, InstanceRecord>& records() const { return m_records; }
+
+    // Forgets all leases, for a new holder id.
+    void reset();
+
+private:
+    void watchRecords();
+    void pollInstanceList();
+    void takeRecord(const InstanceRecord&);
+    void tick();
+    void openLease(const WorkerLinkPtr&);
+    void renewLease(const WorkerLinkPtr&);
+    void takeReport(WorkerLink&, const LeaseResult&);
+    bool isUsable(const WorkerLink&) const;
+
+    EventLoop& m_loop;
+    HttpPlatform& m_platform;
+    HttpWorkers& m_workers;
+    Membership& m_membership;
+    Duration m_leaseTime;
+    Revision m_watchedTo { noRevision };
+    std::map<InstanceId, InstanceRecord> m_records;
+    std::map<InstanceId, WorkerLinkPtr> m_links;
+    std::function<void()> m_onChange;
+};
+
+} // namespace marigoldlink
--- /dev/null
+++ b/tools/marigold-keeper/main.cpp
@@ -0,0 +1,20 @@
+// marigold-keeper: keeps the capacity of the pools sufficient through maintenance.
+#include "../common/Program.h"
+#include "Keeper.h"
+
+int main(int argc, char** argv)
+{
+    using namespace marigoldlink;
+    return runProgram(argc, argv, "marigold-keeper", "keeps the capacity of the pools sufficient through maintenance",
+        [](const std::string& config, bool isCheckOnly) {
+            const auto settings = KeeperSettings::load(config);
+            if (isCheckOnly)
+                return;
+            setLogLevel(settings.logLevel);
+            EventLoop loop;
+            Keeper keeper(loop, settings);
+            std::cout << "listening " << keeper.start().text() << std::endl;
+            loop.onTerminate([&loop] { loop.stop(); });
+            loop.run();
+        });
+}
--- /dev/null
+++ b/tools/marigoldctl/Commands.cpp
@@ -0,0 +1,292 @@
+// The operators' commands, each a read and a compare-and-swap.
+#include "Commands.h"
+
+#include "marigoldlink/Coordination/Customers.h"
+#include "marigoldlink/Coordination/FleetDiff.h"
+#include "marigoldlink/Coordination/KeyRing.h"
+#include "marigoldlink/Protocol/RecordCodec.h"
+
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace marigoldlink {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    const std::string s_grantsPrefix = "config/key/";
+
+    std::string newWriteId() { return createKey().grant.salt; }
+
+} // namespace
+
+std::string readFile(const std::string& fileName)
+{
+    std::ifstream in(fileName);
+    if (!in)
+        throw Error(ErrorKind::InvalidText, "cannot read " + fileName);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+Commands::Held Commands::read(const std::string& key)
+{
+    const auto value = m_platform.read(key);
+    if (!value)
+        return { { key, 0, {}, {} }, noRevision };
+    return { decodeConfigRecord(key, value->value), value->revision };
+}
+
+ExitCode Commands::report(WriteFate fate, const std::string& what, std::uint64_t version)
+{
+    static const std::map<WriteFate, std::pair<const char*, ExitCode>> results {
+        { WriteFate::Applied, { "applied", ExitCode::Done } },
+        { WriteFate::Conflict, { "not applied: another operator wrote first", ExitCode::Conflict } },
+        { WriteFate::NotApplied, { "not applied: the platform does not answer", ExitCode::Unavailable } },
+        { WriteFate::Unknown, { "unknown: the platform's answer was lost", ExitCode::Unknown } },
+    };
+    const auto& [text, code] = results.at(fate);
+    if (m_isJson)
+        std::cout << Json { { "what", what }, { "result", text }, { "version", version } }.dump() << '\n';
+    else
+        std::cout << what << ": " << text << " (version " << version << ")\n";
+    return code;
+}
+
+ExitCode Commands::writeBody(Held held, std::string body, const std::string& what)
+{
+    held.record.version += 1;
+    held.record.writeId = newWriteId();
+    held.record.body = std::move(body);
+    return report(m_platform.writeConfig(held.record, held.revision), what, held.record.version);
+}
+
+void Commands::printChanges(const std::string& before, const std::string& after)
+{
+    const auto former = before.empty() ? FleetText {} : parseFleetText(before, "text in force");
+    const auto changes = describeChanges(former, parseFleetText(after, "new text"));
+    if (m_isJson) {
+        auto list = Json::array();
+        for (const auto& change : changes)
+            list.push_back({ { "sign", std::string(1, change.sign) }, { "change", change.sentence } });
+        std::cout << Json { { "changes", list } }.dump() << '\n';
+        return;
+    }
+    for (const auto& change : changes)
+        std::cout << change.sign << ' ' << change.sentence << '\n';
+    if (changes.empty())
+        std::cout << "no change\n";
+}
+
+ExitCode Commands::fetch()
+{
+    const auto held = read(keys::text);
+    std::cerr << "version " << held.record.version << '\n';
+    std::cout << held.record.body;
+    return ExitCode::Done;
+}
+
+ExitCode Commands::plan(const std::string& fileName)
+{
+    const auto text = readFile(fileName);
+    const auto parsed = parseFleetText(text, fileName);
+    const auto held = read(keys::text);
+    printChanges(held.record.body, text);
+    std::vector<InstanceRecord> records;
+    for (const auto& value : m_platform.range(keys::instancePrefix))
+        records.push_back(decodeInstanceRecord(value.value));
+    auto list = Json::array();
+    for (const auto& capacity : poolCapacities(parsed, records)) {
+        list.push_back(
+            { { "pool", capacity.pool.value() }, { "needed", capacity.needed }, { "present", capacity.present } });
+        if (!m_isJson) {
+            std::cout << "pool " << std::left << std::setw(20) << capacity.pool.value() << " needs " << capacity.needed
+                      << " slots, has " << capacity.present << '\n';
+        }
+    }
+    if (m_isJson)
+        std::cout << Json { { "from_version", held.record.version }, { "pools", list } }.dump() << '\n';
+    else
+        std::cout << "made from version " << held.record.version << '\n';
+    return ExitCode::Done;
+}
+
+ExitCode Commands::apply(const std::string& fileName, std::uint64_t fromVersion)
+{
+    const auto text = readFile(fileName);
+    const auto parsed = parseFleetText(text, fileName);
+    auto held = read(keys::text);
+    if (fromVersion != 0 && held.record.version != fromVersion) {
+        std::cerr << "not applied: version " << held.record.version << " is in force, the edit was made from version "
+                  << fromVersion << ". Against the text in force it changes:\n";
+        printChanges(held.record.body, text);
+        return ExitCode::Conflict;
+    }
+    std::optional<FleetText> former;
+    if (!held.record.body.empty())
+        former = parseFleetText(held.record.body, "text in force");
+    // The settings in force are stored before the edit can drop a customer.
+    if (former && !storeCustomers(*former, &*former))
+        return report(WriteFate::NotApplied, "text", held.record.version);
+    const auto code = writeBody(held, text, "text");
+    if (code == ExitCode::Conflict)
+        printChanges(read(keys::text).record.body, text);
+    if (code == ExitCode::Done && !storeCustomers(parsed, former ? &*former : nullptr))
+        std::cerr << "the text is applied; the settings of some customers are stored by the next apply\n";
+    return code;
+}
+
+bool Commands::storeCustomers(const FleetText& text, const FleetText* former)
+{
+    bool isWhole = true;
+    for (const auto& [id, customer] : text.customers) {
+        const bool wasListed = former && former->customers.contains(id);
+        while (true) {
+            const auto value = m_platform.read(keys::customer(id));
+            std::optional<CustomerRecord> stored;
+            if (value)
+                stored = decodeCustomerRecord(value->value);
+            const auto next = reconcileCustomer(stored, customer, wasListed);
+            if (stored && *stored == next)
+                break;
+            const auto fate = m_platform.write(keys::customer(id), encode(next), value ? value->revision : noRevision);
+            if (fate == WriteFate::Conflict)
+                continue;
+            isWhole &= fate == WriteFate::Applied;
+            break;
+        }
+    }
+    return isWhole;
+}
+
+ExitCode Commands::grant(const TeamId& team)
+{
+    const auto text = read(keys::text);
+    if (text.record.version == 0 || !parseFleetText(text.record.body, "text in force").teams.contains(team)) {
+        std::cerr << "no team \"" << team.value() << "\" in the text in force\n";
+        return ExitCode::Invalid;
+    }
+    const auto held = read(keys::grants(team));
+    auto grants = held.record.version == 0 ? std::vector<KeyGrant> {} : decodeKeyGrants(held.record.body);
+    const auto key = createKey();
+    grants.push_back(key.grant);
+    const auto code = writeBody(held, encode(grants), "grant of key " + key.grant.id.value());
+    if (code == ExitCode::Done || code == ExitCode::Unknown) {
+        // The secret is shown once and kept nowhere.
+        std::cout << key.presented << '\n';
+    }
+    return code;
+}
+
+std::optional<TeamId> Commands::teamOf(const KeyId& key)
+{
+    for (const auto& value : m_platform.range(s_grantsPrefix)) {
+        for (const auto& grant : decodeKeyGrants(decodeConfigRecord(value.key, value.value).body)) {
+            if (grant.id == key)
+                return TeamId(value.key.substr(s_grantsPrefix.size()));
+        }
+    }
+    return std::nullopt;
+}
+
+ExitCode Commands::withdraw(const KeyId& key)
+{
+    while (true) {
+        const auto team = teamOf(key);
+        if (!team) {
+            std::cerr << "no key \"" << key.value() << "\" is in force\n";
+            return ExitCode::Invalid;
+        }
+        const auto held = read(keys::grants(*team));
+        auto grants = decodeKeyGrants(held.record.body);
+        std::erase_if(grants, [&key](const KeyGrant& grant) { return grant.id == key; });
+        const auto code = writeBody(held, encode(grants), "withdrawal of key " + key.value());
+        // Another operator's change of the same team's keys does not stand against a withdrawal.
+        if (code != ExitCode::Conflict)
+            return code;
+    }
+}
+
+ExitCode Commands::moveDataCenter(const DataCenterId& id, bool isOut)
+{
+    const auto text = read(keys::text);
+    if (text.record.version == 0 || !parseFleetText(text.record.body, "text in force").dataCenters.contains(id)) {
+        std::cerr << "no data centre \"" << id.value() << "\" in the text in force\n";
+        return ExitCode::Invalid;
+    }
+    const auto what = "data centre " + id.value() + (isOut ? " out" : " back");
+    return writeBody(read(keys::dataCenter(id)), isOut ? "out" : "in", what);
+}
+
+ExitCode Commands::status(const std::vector<Endpoint>& entries)
+{
+    std::vector<Endpoint> endpoints = entries;
+    if (endpoints.empty()) {
+        const auto value = m_platform.read(keys::members);
+        if (value) {
+            for (const auto& member : decodeMemberRecord(value->value).members)
+                endpoints.push_back(member.endpoint);
+        }
+    }
+    auto list = Json::array();
+    for (const auto& endpoint : endpoints) {
+        const auto outcome = m_platform.get(endpoint, "/status");
+        auto status = outcome.isOk() ? Json::parse(outcome.body, nullptr, false) : Json();
+        if (m_isJson) {
+            list.push_back({ { "endpoint", endpoint.text() }, { "status", status } });
+        } else if (!status.is_object()) {
+            std::cout << endpoint.text() << "  no answer\n";
+        } else {
+            std::cout << endpoint.text() << "  data centre " << status.value("data_center", "") << "  holder "
+                      << status.value("holder", 0) << "  " << status.value("contact", "") << "  requests "
+                      << status.value("requests", 0) << "  text version " << status["config"].value(keys::text, 0)
+                      << '\n';
+        }
+    }
+    if (m_isJson)
+        std::cout << list.dump() << '\n';
+    return ExitCode::Done;
+}
+
+ExitCode Commands::showCustomer(const CustomerId& id)
+{
+    const auto value = m_platform.read(keys::customer(id));
+    if (!value) {
+        std::cerr << "no customer \"" << id.value() << "\"\n";
+        return ExitCode::Invalid;
+    }
+    const auto record = decodeCustomerRecord(value->value);
+    if (m_isJson) {
+        std::cout << value->value << '\n';
+        return ExitCode::Done;
+    }
+    std::cout << "customer " << id.value() << "  team " << record.team.value() << "  "
+              << (record.isCancelled ? "cancelled" : "active") << '\n';
+    for (const auto& [key, setting] : record.settings)
+        std::cout << "  " << key << " = " << setting << '\n';
+    return ExitCode::Done;
+}
+
+ExitCode Commands::setCustomerCancelled(const CustomerId& id, bool isCancelled)
+{
+    while (true) {
+        const auto value = m_platform.read(keys::customer(id));
+        if (!value) {
+            std::cerr << "no customer \"" << id.value() << "\"\n";
+            return ExitCode::Invalid;
+        }
+        auto record = decodeCustomerRecord(value->value);
+        record.isCancelled = isCancelled;
+        const auto fate = m_platform.write(keys::customer(id), encode(record), value->revision);
+        if (fate == WriteFate::Conflict)
+            continue;
+        return report(fate, "customer " + id.value() + (isCancelled ? " cancelled" : " restored"), 0);
+    }
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/tools/marigoldctl/Commands.h
@@ -0,0 +1,54 @@
+// The operators' commands.
+#pragma once
+
+#include "PlatformCalls.h"
+#include "marigoldlink/State/FleetText.h"
+
+#include <string>
+#include <vector>
+
+namespace marigoldlink {
+
+// Exit codes of marigoldctl, listed in docs/Operations.md.
+enum class ExitCode { Done = 0, Invalid = 1, Usage = 2, Conflict = 3, Unknown = 4, Unavailable = 5 };
+
+class Commands {
+public:
+    Commands(PlatformCalls& platform, bool isJson)
+        : m_platform(platform)
+        , m_isJson(isJson)
+    {
+    }
+
+    ExitCode fetch();
+    ExitCode plan(const std::string& fileName);
+    // Writes the text if the version in force is still the one that the edit was made from; 0 means "whichever".
+    ExitCode apply(const std::string& fileName, std::uint64_t fromVersion);
+    ExitCode grant(const TeamId&);
+    ExitCode withdraw(const KeyId&);
+    ExitCode moveDataCenter(const DataCenterId&, bool isOut);
+    ExitCode status(const std::vector<Endpoint>& entries);
+    ExitCode showCustomer(const CustomerId&);
+    ExitCode setCustomerCancelled(const CustomerId&, bool isCancelled);
+
+private:
+    struct Held {
+        ConfigRecord record;
+        Revision revision { noRevision };
+    };
+
+    Held read(const std::string& key);
+    ExitCode writeBody(Held, std::string body, const std::string& what);
+    ExitCode report(WriteFate, const std::string& what, std::uint64_t version);
+    void printChanges(const std::string& before, const std::string& after);
+    bool storeCustomers(const FleetText&, const FleetText* former);
+    std::optional<TeamId> teamOf(const KeyId&);
+
+    PlatformCalls& m_platform;
+    bool m_isJson;
+};
+
+// Reads a text file. Throws Error(InvalidText) when it cannot be read.
+std::string readFile(const std::string& fileName);
+
+} // namespace marigoldlink
--- /dev/null
+++ b/tools/marigoldctl/PlatformCalls.cpp
@@ -0,0 +1,130 @@
+// Waiting platform calls of a command.
+#include "PlatformCalls.h"
+
+#include "../common/Jitter.h"
+#include "marigoldlink/Protocol/RecordCodec.h"
+#include "marigoldlink/State/Errors.h"
+
+namespace marigoldlink {
+
+namespace {
+
+    constexpr Duration s_pause { 100 };
+
+} // namespace
+
+PlatformCalls::PlatformCalls(const Endpoint& endpoint, Duration patience)
+    : m_client(m_loop)
+    , m_platform(m_client, endpoint)
+    , m_deadline(m_loop.now() + patience)
+{
+}
+
+template <typename Result, typename Function> Result PlatformCalls::wait(Function call)
+{
+    std::optional<Result> answer;
+    call([&answer](Result result) { answer = std::move(result); });
+    m_loop.runUntil([&answer] { return answer.has_value(); });
+    return std::move(*answer);
+}
+
+ReadResult PlatformCalls::tryRead(const std::string& key)
+{
+    return wait<ReadResult>([&](ReadCallback done) { m_platform.read(key, std::move(done)); });
+}
+
+WriteResult PlatformCalls::tryWrite(const std::string& key, const std::string& value, Revision expected)
+{
+    return wait<WriteResult>([&](WriteCallback done) { m_platform.write(key, value, expected, std::move(done)); });
+}
+
+void PlatformCalls::pause()
+{
+    bool isOver = false;
+    m_loop.after(jittered(s_pause), [&isOver] { isOver = true; });
+    m_loop.runUntil([&isOver] { return isOver; });
+}
+
+bool PlatformCalls::isOutOfTime() const { return m_loop.now() >= m_deadline; }
+
+std::optional<StoredValue> PlatformCalls::read(const std::string& key)
+{
+    while (true) {
+        const auto result = tryRead(key);
+        if (result.status == StoreStatus::Ok)
+            return result.value;
+        if (result.status == StoreStatus::Missing)
+            return std::nullopt;
+        if (isOutOfTime())
+            throw Error(ErrorKind::PlatformUnavailable, "the platform does not answer; nothing was written");
+        pause();
+    }
+}
+
+std::vector<StoredValue> PlatformCalls::range(const std::string& prefix)
+{
+    while (true) {
+        auto result = wait<RangeResult>([&](RangeCallback done) { m_platform.range(prefix, std::move(done)); });
+        if (result.status == StoreStatus::Ok)
+            return std::move(result.values);
+        if (isOutOfTime())
+            throw Error(ErrorKind::PlatformUnavailable, "the platform does not answer; nothing was written");
+        pause();
+    }
+}
+
+WriteFate PlatformCalls::writeConfig(const ConfigRecord& record, Revision expected)
+{
+    bool mayHaveTakenEffect = false;
+    while (true) {
+        const auto written = tryWrite(record.key, encode(record), expected);
+        if (written.status == StoreStatus::Ok)
+            return WriteFate::Applied;
+        if (written.status == StoreStatus::Conflict) {
+            if (!mayHaveTakenEffect)
+                return WriteFate::Conflict;
+            const auto current = tryRead(record.key);
+            if (current.status == StoreStatus::Ok) {
+                const auto held = decodeConfigRecord(record.key, current.value.value);
+                if (held.writeId == record.writeId)
+                    return WriteFate::Applied;
+                // Each write raises the version by one, so another write in the place of this one excludes it.
+                return held.version <= record.version ? WriteFate::Conflict : WriteFate::Unknown;
+            }
+        }
+        mayHaveTakenEffect |= written.status == StoreStatus::Unknown;
+        if (isOutOfTime())
+            return mayHaveTakenEffect ? WriteFate::Unknown : WriteFate::NotApplied;
+        pause();
+    }
+}
+
+WriteFate PlatformCalls::write(const std::string& key, const std::string& value, Revision expected)
+{
+    bool mayHaveTakenEffect = false;
+    while (true) {
+        const auto written = tryWrite(key, value, expected);
+        if (written.status == StoreStatus::Ok)
+            return WriteFate::Applied;
+        if (written.status == StoreStatus::Conflict) {
+            const auto current = tryRead(key);
+            if (current.status == StoreStatus::Ok && current.value.value == value)
+                return WriteFate::Applied;
+            if (current.status == StoreStatus::Ok)
+                return mayHaveTakenEffect ? WriteFate::Unknown : WriteFate::Conflict;
+        }
+        mayHaveTakenEffect |= written.status == StoreStatus::Unknown;
+        if (isOutOfTime())
+            return mayHaveTakenEffect ? WriteFate::Unknown : WriteFate::NotApplied;
+        pause();
+    }
+}
+
+HttpOutcome PlatformCalls::get(const Endpoint& endpoint, const std::string& target)
+{
+    return wait<HttpOutcome>([&](HttpClient::Callback done) {
+        m_client.send(endpoint, { "GET", target, {}, {}, Duration(1000) }, std::move(done));
+    });
+}
+
+} // namespace marigoldlink
