Property tests of the decisions; maintenance brings capacity in before it takes some out

Cause: a pool at its target could lose no instance without touching its buffer, so a maintenance round of a full fleet never began (found by FleetPlanner.MaintenanceReachesEveryInstanceAndNeverLeavesAPoolShort, which failed first). Ruled out: letting maintenance use the rack buffer, since a rack may fail meanwhile. Change: a pool with instances that wait for maintenance has a wave on top of its target, taken from the spare pool.

--- a/include/marigoldlink/Coordination/FleetPlanner.h
+++ b/include/marigoldlink/Coordination/FleetPlanner.h
@@ -39,8 +39,9 @@
 };
 
 struct PlannerLimits {
-    // Instances of one pool that may drain or reboot for maintenance at once, beyond what capacity allows.
+    // Most instances of one pool that drain or reboot for maintenance at once, and the part of the pool they may be.
     std::size_t waveWidth { 4 };
+    double wavePart { 0.1 };
     // Instances that may be rebooting without having come back; a wave stops at this number.
     std::size_t mostUnhealthy { 3 };
 };
@@ -50,10 +51,11 @@
     PoolId pool;
     Slots needed { 0 }; // by the services of the text
     Slots buffer { 0 }; // slots in the largest rack of the pool, which may fail at any time
+    Slots wave { 0 }; // slots brought in while instances of the pool wait for maintenance
     Slots serving { 0 }; // active and listed instances in data centres in service
     Slots arriving { 0 }; // instances that drain in another pool to join this one
 
-    Slots target() const { return needed + buffer; }
+    Slots target() const { return needed + buffer + wave; }
     bool isShort() const { return serving < needed; }
 };
 
--- a/lib/Coordination/FleetPlanner.cpp
+++ b/lib/Coordination/FleetPlanner.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace marigoldlink {
 
@@ -11,8 +12,9 @@
     // Slots by pool, data centre and rack, kept up to date while the round changes records.
     class Tally {
     public:
-        explicit Tally(const FleetView& view)
+        Tally(const FleetView& view, const PlannerLimits& limits)
             : m_view(view)
+            , m_limits(limits)
         {
             for (const auto& [id, pool] : view.text->pools)
                 m_states[id].pool = id;
@@ -39,6 +41,22 @@
             } else if (record.phase == InstancePhase::Draining && !record.nextPool.empty()) {
                 m_states[record.nextPool].arriving += slots;
             }
+            auto& census = m_census[record.pool];
+            census.instances += sign;
+            census.largest = std::max(census.largest, record.slots);
+            if (record.maintainedRound < m_view.round)
+                census.waiting += sign;
+        }
+
+        // Instances of the pool that may be out for maintenance at once.
+        std::size_t waveWidth(const PoolId& pool) const
+        {
+            const auto found = m_census.find(pool);
+            if (found == m_census.end())
+                return 0;
+            const auto part = static_cast<std::size_t>(
+                std::ceil(m_limits.wavePart * static_cast<double>(std::max<std::int64_t>(0, found->second.instances))));
+            return std::min(m_limits.waveWidth, part);
         }
 
         PoolState state(const PoolId& pool) const
@@ -47,6 +65,9 @@
             for (auto it = m_byRack.lower_bound({ pool, RackId() }); it != m_byRack.end() && it->first.first == pool;
                  ++it)
                 state.buffer = std::max(state.buffer, it->second);
+            const auto census = m_census.find(pool);
+            if (census != m_census.end() && census->second.waiting > 0 && state.needed > 0)
+                state.wave = static_cast<Slots>(waveWidth(pool)) * census->second.largest;
             return state;
         }
 
@@ -65,7 +86,15 @@
         const std::map<PoolId, PoolState>& states() const { return m_states; }
 
     private:
+        struct Census {
+            std::int64_t instances { 0 };
+            std::int64_t waiting { 0 }; // for maintenance
+            Slots largest { 0 };
+        };
+
         const FleetView& m_view;
+        const PlannerLimits& m_limits;
+        std::map<PoolId, Census> m_census;
         std::map<PoolId, PoolState> m_states;
         std::map<std::pair<PoolId, DataCenterId>, Slots> m_byDataCenter;
         std::map<std::pair<PoolId, RackId>, Slots> m_byRack;
@@ -76,7 +105,7 @@
         Round(const FleetView& view, const PlannerLimits& limits)
             : m_view(view)
             , m_limits(limits)
-            , m_tally(view)
+            , m_tally(view, limits)
             , m_records(view.records)
         {
             if (const auto* spare = view.text->sparePool())
@@ -262,7 +291,7 @@
             for (const auto& [id, record] : m_view.records) {
                 if (record.maintainedRound >= m_view.round || m_changed.contains(id) || !m_tally.isServing(record))
                     continue;
-                if (open[record.pool] >= m_limits.waveWidth || !mayLose(record))
+                if (open[record.pool] >= m_tally.waveWidth(record.pool) || !mayLose(record))
                     continue;
                 ++open[record.pool];
                 auto next = record;
@@ -321,7 +350,8 @@
 
 std::vector<PoolState> FleetPlanner::poolStates(const FleetView& view)
 {
-    const Tally tally(view);
+    const PlannerLimits limits;
+    const Tally tally(view, limits);
     std::vector<PoolState> states;
     for (const auto& [pool, state] : tally.states())
         states.push_back(tally.state(pool));
--- /dev/null
+++ b/unittests/Coordination/FleetPlannerTest.cpp
@@ -0,0 +1,187 @@
+// Capacity and maintenance rounds: one pool for an instance, enough capacity at every step, no endless moves.
+#include "marigoldlink/Coordination/FleetPlanner.h"
+#include "Choices.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace marigoldlink::testing {
+
+namespace {
+
+    constexpr Slots s_slots = 8;
+
+    FleetText text(Slots need)
+    {
+        FleetText text;
+        for (const auto* name : { "one", "two", "spare" }) {
+            Pool pool;
+            pool.id = PoolId(name);
+            pool.isSpare = pool.id == PoolId("spare");
+            text.pools[pool.id] = pool;
+        }
+        for (const auto* name : { "one", "two" }) {
+            Service service;
+            service.id = ServiceId(name);
+            service.pool = PoolId(name);
+            service.needSlots = need;
+            text.services[service.id] = service;
+        }
+        return text;
+    }
+
+    // A fleet whose instances drain and reboot as told.
+    struct Fleet {
+        FleetText fleetText;
+        FleetView view;
+        FleetPlanner planner { {} };
+        std::size_t moves { 0 };
+
+        Fleet(Slots need, std::size_t instances)
+            : fleetText(text(need))
+        {
+            view.text = &fleetText;
+            for (std::size_t i = 0; i < instances; ++i) {
+                InstanceInfo info;
+                info.id = InstanceId("instance-" + std::to_string(i));
+                info.dataCenter = DataCenterId("dc-" + std::to_string(i % 3));
+                info.rack = RackId(info.dataCenter.value() + "-" + std::to_string(i / 12));
+                info.slots = s_slots;
+                view.listed[info.id] = info;
+            }
+        }
+
+        // Returns the number of changes.
+        std::size_t round()
+        {
+            const auto changes = planner.plan(view);
+            for (const auto& change : changes) {
+                view.records[change.next.id] = change.next;
+                moves += change.reason == ChangeReason::Deficit || change.reason == ChangeReason::Surplus;
+            }
+            return changes.size();
+        }
+
+        void finishDrainsAndReboots()
+        {
+            view.drained.clear();
+            view.healthy.clear();
+            for (const auto& [id, record] : view.records) {
+                if (record.phase == InstancePhase::Draining)
+                    view.drained.insert(id);
+                if (record.phase == InstancePhase::Rebooting)
+                    view.healthy.insert(id);
+            }
+        }
+
+        std::size_t settle()
+        {
+            std::size_t rounds = 0;
+            while (round() > 0 && rounds < 500) {
+                finishDrainsAndReboots();
+                ++rounds;
+            }
+            return rounds;
+        }
+
+        const PoolState state(const char* pool) const
+        {
+            for (const auto& state : FleetPlanner::poolStates(view)) {
+                if (state.pool == PoolId(pool))
+                    return state;
+            }
+            return {};
+        }
+    };
+
+} // namespace
+
+TEST(FleetPlanner, NewInstancesCoverNeedAndBuffer)
+{
+    Fleet fleet(64, 48);
+    fleet.settle();
+    EXPECT_GE(fleet.state("one").serving, fleet.state("one").target());
+    EXPECT_GE(fleet.state("two").serving, fleet.state("two").target());
+    EXPECT_EQ(fleet.moves, 0U);
+}
+
+TEST(FleetPlanner, SpareInstancesFillALossAndReturn)
+{
+    Fleet fleet(64, 48);
+    fleet.settle();
+    fleet.view.out.insert(DataCenterId("dc-0"));
+    fleet.settle();
+    EXPECT_FALSE(fleet.state("one").isShort());
+    EXPECT_FALSE(fleet.state("two").isShort());
+    fleet.view.out.clear();
+    EXPECT_LT(fleet.settle(), 20U) << "the rounds come to rest";
+    EXPECT_GT(fleet.state("spare").serving, 0);
+}
+
+TEST(FleetPlanner, MaintenanceReachesEveryInstanceAndNeverLeavesAPoolShort)
+{
+    Fleet fleet(64, 48);
+    fleet.settle();
+    fleet.view.round = 1;
+    for (int i = 0; i < 400 && fleet.round() > 0; ++i) {
+        EXPECT_FALSE(fleet.state("one").isShort());
+        EXPECT_FALSE(fleet.state("two").isShort());
+        fleet.finishDrainsAndReboots();
+    }
+    for (const auto& [id, record] : fleet.view.records) {
+        EXPECT_EQ(record.maintainedRound, 1U) << id;
+        EXPECT_EQ(record.phase, InstancePhase::Active) << id;
+    }
+}
+
+TEST(FleetPlanner, WaveStopsWhenInstancesDoNotComeBack)
+{
+    Fleet fleet(32, 60);
+    fleet.settle();
+    fleet.view.round = 1;
+    std::size_t rebooting = 0;
+    for (int i = 0; i < 100; ++i) {
+        fleet.round();
+        fleet.finishDrainsAndReboots();
+        fleet.view.healthy.clear();
+    }
+    for (const auto& [id, record] : fleet.view.records)
+        rebooting += record.phase == InstancePhase::Rebooting;
+    EXPECT_GE(rebooting, 3U);
+    EXPECT_LE(rebooting, 3U + 3 * 4U) << "the open wave of each pool and no more";
+}
+
+// Whatever view a round starts from: each changed instance keeps one pool, and its epoch grows by one.
+RC_GTEST_PROP(FleetPlanner, EveryChangeIsOneStepOfOneInstance, ())
+{
+    auto choices = Choices::generate(60);
+    Fleet fleet(static_cast<Slots>(choices.below(100)), choices.below(60));
+    for (auto& [id, info] : fleet.view.listed) {
+        if (choices.below(4) == 0)
+            continue;
+        InstanceRecord record { id, info.dataCenter, info.rack, info.endpoint, info.slots,
+            PoolId(choices.below(2) ? "one" : "spare"), static_cast<InstancePhase>(choices.below(4)), choices.below(5),
+            PoolId(choices.below(2) ? "" : "two"), choices.below(2) };
+        fleet.view.records[id] = record;
+        if (choices.below(2))
+            fleet.view.drained.insert(id);
+        if (choices.below(2))
+            fleet.view.healthy.insert(id);
+    }
+    fleet.view.round = choices.below(2);
+    std::set<InstanceId> changed;
+    for (const auto& change : fleet.planner.plan(fleet.view)) {
+        RC_ASSERT(changed.insert(change.next.id).second);
+        RC_ASSERT(fleet.fleetText.pools.contains(change.next.pool));
+        const auto found = fleet.view.records.find(change.next.id);
+        if (found == fleet.view.records.end())
+            continue;
+        RC_ASSERT(change.next.epoch == found->second.epoch + 1);
+        const bool isPoolChange = change.next.pool != found->second.pool;
+        RC_ASSERT(!isPoolChange
+            || (found->second.phase == InstancePhase::Draining && fleet.view.drained.contains(change.next.id)));
+        RC_ASSERT(change.next.phase != InstancePhase::Rebooting || fleet.view.drained.contains(change.next.id));
+    }
+}
+
+} // namespace marigoldlink::testing
--- /dev/null
+++ b/unittests/State/ErrorsTest.cpp
@@ -0,0 +1,21 @@
+// The table from error kind to answer is whole and consistent.
+#include "marigoldlink/State/Errors.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace marigoldlink::testing {
+
+TEST(Errors, TableListsEveryKindOnce)
+{
+    std::set<std::string> names;
+    for (int i = 0; i < errorKindCount; ++i) {
+        const auto& row = errorRow(static_cast<ErrorKind>(i));
+        EXPECT_TRUE(names.insert(row.name).second) << row.name;
+        EXPECT_GE(row.httpStatus, 400);
+        EXPECT_EQ(errorKind(row.name), row.kind);
+    }
+    EXPECT_FALSE(errorKind("no-such-kind"));
+}
+
+} // namespace marigoldlink::testing
--- /dev/null
+++ b/unittests/State/FleetTextTest.cpp
@@ -0,0 +1,93 @@
+// The operators' text is validated whole, with line and column of each fault.
+#include "marigoldlink/State/FleetText.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace marigoldlink::testing {
+
+namespace {
+
+    using ::testing::HasSubstr;
+
+    constexpr const char* s_valid = R"([fleet]
+name = "f"
+[[data_center]]
+name = "dc"
+[[pool]]
+name = "pool"
+[[team]]
+name = "team"
+share = 1
+upper_limit = 8
+[[service]]
+name = "a"
+class = "urgent"
+pool = "pool"
+need_slots = 4
+availability = 0.99
+[[queue]]
+name = "q"
+service = "a"
+)";
+
+    std::string faultsOf(const std::string& text)
+    {
+        try {
+            parseFleetText(text, "fleet.toml");
+            return {};
+        } catch (const TextError& error) {
+            return error.what();
+        }
+    }
+
+} // namespace
+
+TEST(FleetText, ReadsAValidText)
+{
+    const auto text = parseFleetText(s_valid, "fleet.toml");
+    EXPECT_EQ(text.urgency(text.queues.at(QueueId("q"))), Urgency::Urgent);
+    EXPECT_EQ(text.teams.at(TeamId("team")).upperLimit, 8);
+}
+
+TEST(FleetText, ReportsEveryFaultWithItsPlace)
+{
+    const auto faults = faultsOf(std::string(s_valid) + R"([[team]]
+name = "team"
+share = -1
+upper_limit = 3
+[[queue]]
+name = "r"
+service = "missing"
+colour = "red"
+)");
+    EXPECT_THAT(faults, HasSubstr("fleet.toml:22:9: team.share must be a number"));
+    EXPECT_THAT(faults, HasSubstr("team \"team\" is defined twice"));
+    EXPECT_THAT(faults, HasSubstr("refers to the unknown service \"missing\""));
+    EXPECT_THAT(faults, HasSubstr("queue has no field \"colour\"; accepted:"));
+}
+
+TEST(FleetText, RejectsCyclesAndUnreachableAvailability)
+{
+    const auto cyclic = faultsOf(std::string(s_valid) + R"([[service]]
+name = "b"
+class = "normal"
+pool = "pool"
+need_slots = 4
+availability = 0.9
+depends_on = ["c"]
+[[service]]
+name = "c"
+class = "normal"
+pool = "pool"
+need_slots = 4
+availability = 0.8
+depends_on = ["b"]
+)");
+    EXPECT_THAT(cyclic, HasSubstr("depends on itself"));
+    EXPECT_THAT(cyclic, HasSubstr("service b cannot reach availability 0.9"));
+}
+
+TEST(FleetText, ReportsSyntaxWithItsPlace) { EXPECT_THAT(faultsOf("[fleet\n"), HasSubstr("fleet.toml:1:")); }
+
+} // namespace marigoldlink::testing
--- /dev/null
+++ b/unittests/Support/SettingsTest.cpp
@@ -0,0 +1,28 @@
+// Settings faults name file, line, field, value and what is accepted.
+#include "marigoldlink/Support/Settings.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <stdexcept>
+
+namespace marigoldlink::testing {
+
+TEST(Settings, ReportsEveryFaultAtOnce)
+{
+    auto settings = Settings::parse("level = \"loud\"\n[limits]\nqueue = 0\nextra = 1\n", "entry.toml");
+    settings.text("listen");
+    settings.choice("level", "info", { "info", "error" });
+    settings.integer("limits.queue", 5, 1, 10);
+    try {
+        settings.finish();
+        FAIL() << "the faults must be reported";
+    } catch (const std::runtime_error& error) {
+        const std::string text = error.what();
+        EXPECT_THAT(text, ::testing::HasSubstr("listen: the field is required"));
+        EXPECT_THAT(text, ::testing::HasSubstr("entry.toml:1: level: accepted: info, error (found "));
+        EXPECT_THAT(text, ::testing::HasSubstr("entry.toml:3: limits.queue: accepted: an integer between 1 and 10"));
+        EXPECT_THAT(text, ::testing::HasSubstr("entry.toml:4: limits.extra: no such field"));
+    }
+}
+
+} // namespace marigoldlink::testing
