--- a/idl/Peer.thrift
+++ b/idl/Peer.thrift
@@ -26,6 +26,8 @@
   5: i64 confirmationAgeMs
   6: list<PoolLoad> pools
   7: list<TeamLoad> teams
+  8: i64 sequence // numbers the sender's messages to this receiver
+  9: i64 acknowledged // the receiver's last sequence that the sender saw
 }
 
 struct ConfigItem {
--- a/include/marigoldlink/Coordination/Freshness.h
+++ b/include/marigoldlink/Coordination/Freshness.h
@@ -31,6 +31,9 @@
     {
     }
 
+    // Follows the time between two exchanges with a member, which grows with their number.
+    void setPeerSilence(Duration silence) { m_limits.peerSilence = silence; }
+
     // The platform answered a read or a watch that was sent at the time.
     void platformAnswered(TimePoint sentAt);
 
--- a/include/marigoldlink/Protocol/Generated/Peer_types.h
+++ b/include/marigoldlink/Protocol/Generated/Peer_types.h
@@ -182,7 +182,7 @@
 std::ostream& operator<<(std::ostream& out, const TeamLoad& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : holder(false), dataCenter(false), membersVersion(false), configDigest(false), confirmationAgeMs(false), pools(false), teams(false) {}
+  _Heartbeat__isset() : holder(false), dataCenter(false), membersVersion(false), configDigest(false), confirmationAgeMs(false), pools(false), teams(false), sequence(false), acknowledged(false) {}
   bool holder :1;
   bool dataCenter :1;
   bool membersVersion :1;
@@ -190,6 +190,8 @@
   bool confirmationAgeMs :1;
   bool pools :1;
   bool teams :1;
+  bool sequence :1;
+  bool acknowledged :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -202,7 +204,9 @@
               dataCenter(),
               membersVersion(0),
               configDigest(0),
-              confirmationAgeMs(0) {
+              confirmationAgeMs(0),
+              sequence(0),
+              acknowledged(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -213,6 +217,8 @@
   int64_t confirmationAgeMs;
   std::vector<PoolLoad>  pools;
   std::vector<TeamLoad>  teams;
+  int64_t sequence;
+  int64_t acknowledged;
 
   _Heartbeat__isset __isset;
 
@@ -230,6 +236,10 @@
 
   void __set_teams(const std::vector<TeamLoad> & val);
 
+  void __set_sequence(const int64_t val);
+
+  void __set_acknowledged(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(holder == rhs.holder))
@@ -246,6 +256,10 @@
       return false;
     if (!(teams == rhs.teams))
       return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(acknowledged == rhs.acknowledged))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/include/marigoldlink/Transport/HttpServer.h
+++ b/include/marigoldlink/Transport/HttpServer.h
@@ -67,6 +67,10 @@
     // Closes the listening socket. Connections that are open go on.
     void stopListening();
 
+    // Bytes of requests and answers so far, with an estimate for what the library adds to the heads.
+    std::uint64_t bytesReceived() const;
+    std::uint64_t bytesSent() const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> m_impl;
--- a/lib/Protocol/Generated/Peer_types.cpp
+++ b/lib/Protocol/Generated/Peer_types.cpp
@@ -349,6 +349,14 @@
 void Heartbeat::__set_teams(const std::vector<TeamLoad> & val) {
   this->teams = val;
 }
+
+void Heartbeat::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void Heartbeat::__set_acknowledged(const int64_t val) {
+  this->acknowledged = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -457,6 +465,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->acknowledged);
+          this->__isset.acknowledged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -518,6 +542,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acknowledged", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->acknowledged);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -532,6 +564,8 @@
   swap(a.confirmationAgeMs, b.confirmationAgeMs);
   swap(a.pools, b.pools);
   swap(a.teams, b.teams);
+  swap(a.sequence, b.sequence);
+  swap(a.acknowledged, b.acknowledged);
   swap(a.__isset, b.__isset);
 }
 
@@ -543,6 +577,8 @@
   confirmationAgeMs = other16.confirmationAgeMs;
   pools = other16.pools;
   teams = other16.teams;
+  sequence = other16.sequence;
+  acknowledged = other16.acknowledged;
   __isset = other16.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other17) {
@@ -553,6 +589,8 @@
   confirmationAgeMs = other17.confirmationAgeMs;
   pools = other17.pools;
   teams = other17.teams;
+  sequence = other17.sequence;
+  acknowledged = other17.acknowledged;
   __isset = other17.__isset;
   return *this;
 }
@@ -566,6 +604,8 @@
   out << ", " << "confirmationAgeMs=" << to_string(confirmationAgeMs);
   out << ", " << "pools=" << to_string(pools);
   out << ", " << "teams=" << to_string(teams);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "acknowledged=" << to_string(acknowledged);
   out << ")";
 }
 
--- a/lib/Transport/HttpClient.cpp
+++ b/lib/Transport/HttpClient.cpp
@@ -3,6 +3,7 @@
 
 #include "H2o.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cassert>
 #include <map>
@@ -107,9 +108,10 @@
     }
 
     static h2o_http1client_body_cb onHead(h2o_http1client_t* client, const char* error, int, int status, h2o_iovec_t,
-        h2o_header_t* headers, std::size_t count, int)
+        h2o_header_t* headers, std::size_t count, int headBytes)
     {
         auto* call = static_cast<Call*>(client->data);
+        call->owner->received += static_cast<std::uint64_t>(std::max(0, headBytes));
         const bool isEnd = error == h2o_http1client_error_is_eos;
         if (error && !isEnd) {
             call->client = nullptr;
--- a/lib/Transport/HttpServer.cpp
+++ b/lib/Transport/HttpServer.cpp
@@ -27,18 +27,39 @@
         return "Failed";
     }
 
+    // Bytes of the answer head that the library writes by itself: status line, length, date and server.
+    constexpr std::uint64_t s_answerHeadBytes = 140;
+    constexpr std::uint64_t s_headerSeparatorBytes = 4;
+
+    struct Traffic {
+        std::uint64_t received { 0 };
+        std::uint64_t sent { 0 };
+    };
+
     struct Handler {
         h2o_handler_t super;
         HttpHandler* callback;
+        Traffic* traffic;
     };
 
+    std::uint64_t requestBytes(const h2o_req_t* request)
+    {
+        auto bytes = request->method.len + request->path.len + request->entity.len;
+        for (std::size_t i = 0; i < request->headers.size; ++i) {
+            const auto& header = request->headers.entries[i];
+            bytes += header.name->len + header.value.len + s_headerSeparatorBytes;
+        }
+        return bytes;
+    }
+
     // Lives in the request's memory pool; tells the responder when h2o disposes of the request.
     struct RequestGuard;
 
     class Responder final : public HttpResponder {
     public:
-        explicit Responder(h2o_req_t* request)
+        Responder(h2o_req_t* request, Traffic& traffic)
             : m_request(request)
+            , m_traffic(traffic)
         {
         }
 
@@ -49,6 +70,7 @@
             auto* request = m_request;
             m_request = nullptr;
             m_onClosed = nullptr;
+            m_traffic.sent += s_answerHeadBytes + answer.body.size();
             request->res.status = answer.status;
             request->res.reason = reasonPhrase(answer.status);
             request->res.content_length = answer.body.size();
@@ -76,6 +98,7 @@
 
     private:
         h2o_req_t* m_request;
+        Traffic& m_traffic;
         std::function<void()> m_onClosed;
     };
 
@@ -94,7 +117,9 @@
 
     int onRequest(h2o_handler_t* self, h2o_req_t* request)
     {
-        auto responder = std::make_shared<Responder>(request);
+        auto& handler = *reinterpret_cast<Handler*>(self);
+        handler.traffic->received += requestBytes(request);
+        auto responder = std::make_shared<Responder>(request, *handler.traffic);
         void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(RequestGuard), disposeGuard);
         new (memory) RequestGuard { responder };
 
@@ -106,7 +131,7 @@
         incoming.query = question == std::string_view::npos ? std::string_view() : target.substr(question + 1);
         incoming.body = view(request->entity);
         incoming.native = request;
-        (*reinterpret_cast<Handler*>(self)->callback)(incoming, responder);
+        (*handler.callback)(incoming, responder);
         return 0;
     }
 
@@ -154,6 +179,7 @@
 struct HttpServer::Impl {
     EventLoop& loop;
     HttpHandler handler;
+    Traffic traffic {};
     h2o_globalconf_t config {};
     h2o_context_t context {};
     h2o_accept_ctx_t acceptContext {};
@@ -181,6 +207,7 @@
     auto* native = reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
     native->super.on_req = onRequest;
     native->callback = &m_impl->handler;
+    native->traffic = &m_impl->traffic;
     h2o_context_init(&m_impl->context, loop.native(), &m_impl->config);
     m_impl->acceptContext.ctx = &m_impl->context;
     m_impl->acceptContext.hosts = m_impl->config.hosts;
@@ -211,6 +238,9 @@
     return { endpoint.address, ntohs(address.sin_port) };
 }
 
+std::uint64_t HttpServer::bytesReceived() const { return m_impl->traffic.received; }
+std::uint64_t HttpServer::bytesSent() const { return m_impl->traffic.sent; }
+
 void HttpServer::stopListening()
 {
     if (!m_impl->listener)
--- a/tools/marigold-entry/Entry.cpp
+++ b/tools/marigold-entry/Entry.cpp
@@ -16,6 +16,8 @@
 
     constexpr Log s_log("entry");
     constexpr Duration s_memberCheckPeriod { 250 };
+    // A member is removed only after so many exchange periods without an exchange.
+    constexpr int s_exchangesPerRemoval = 6;
     constexpr Duration s_baselinePeriod { 100 };
     constexpr Duration s_leasePollPeriod { 300 };
     constexpr Duration s_drainPollPeriod { 20 };
@@ -185,6 +187,8 @@
     status["members_version"] = m_membership->record().version;
     status["members"] = m_membership->record().members.size();
     status["requests"] = m_dispatcher->jobs();
+    status["bytes_sent"] = m_client.bytesSent() + m_server.bytesSent();
+    status["bytes_received"] = m_client.bytesReceived() + m_server.bytesReceived();
     status["config"] = Json::object();
     for (const auto& [key, version] : m_config.store().versions())
         status["config"][key] = version;
@@ -236,15 +240,16 @@
         return;
     const auto now = m_loop.now();
     const auto& record = m_membership->record();
+    const auto silence = std::max(m_settings.memberSilence, s_exchangesPerRemoval * m_peers->exchangePeriod());
     std::set<DataCenterId> liveDataCenters;
     for (const auto& member : record.members) {
-        if (now - m_peers->lastAnswer(member.holder) <= m_settings.memberSilence)
+        if (now - m_peers->lastAnswer(member.holder) <= silence)
             liveDataCenters.insert(member.dataCenter);
     }
     for (const auto& member : record.members) {
         if (member.holder == m_membership->self() || m_removals.contains(member.holder))
             continue;
-        if (now - m_peers->lastAnswer(member.holder) <= m_settings.memberSilence)
+        if (now - m_peers->lastAnswer(member.holder) <= silence)
             continue;
         // A live member of the same data centre reaches the workers best. Others act when there is none.
         const bool isNear = member.dataCenter == m_settings.dataCenter;
--- a/tools/marigold-entry/EntrySettings.cpp
+++ b/tools/marigold-entry/EntrySettings.cpp
@@ -46,7 +46,7 @@
     settings.defaultDeadline = milliseconds(file, "timeouts.default_deadline_ms", 30000, 1, 600000);
     settings.longestDeadline = milliseconds(file, "timeouts.longest_deadline_ms", 120000, 1, 600000);
     settings.workerLease = milliseconds(file, "timeouts.worker_lease_ms", 3000, 500, 60000);
-    settings.heartbeat = milliseconds(file, "timeouts.heartbeat_ms", 250, 50, 5000);
+    settings.heartbeat = milliseconds(file, "timeouts.heartbeat_ms", 400, 50, 5000);
     settings.claimWindow = milliseconds(file, "timeouts.claim_window_ms", 60000, 1000, 3600000);
     settings.memberSilence = milliseconds(file, "timeouts.member_silence_ms", 3000, 500, 600000);
     settings.configAudit = milliseconds(file, "timeouts.config_audit_ms", 60000, 500, 3600000);
--- a/tools/marigold-entry/PeerLink.cpp
+++ b/tools/marigold-entry/PeerLink.cpp
@@ -17,8 +17,11 @@
     constexpr Duration s_forwardGrace { 500 };
     constexpr Duration s_handoverRetry { 200 };
     constexpr std::size_t s_configReplyBytes = 512 * 1024;
-    // A peer's load counts for so many heartbeats.
-    constexpr int s_heartbeatsPerLoad = 6;
+    // Members of other data centres with which a process starts an exchange at each heartbeat.
+    constexpr std::size_t s_farExchanges = 4;
+    // A peer's load counts for so many exchange periods, and it counts as reached for so many.
+    constexpr int s_exchangesPerLoad = 4;
+    constexpr int s_exchangesPerSilence = 5;
     // A member that does not answer for so long is not waited for by a new one.
     constexpr Duration s_acquaintanceTime { 1500 };
     const std::string s_pathPrefix = "/peer/";
@@ -104,9 +107,14 @@
     std::erase_if(m_peers, [this](const auto& item) {
         return item.first == m_membership.self() || !m_membership.record().find(item.first);
     });
-    for (const auto holder : m_membership.otherMembers())
-        m_peers.try_emplace(
-            holder, Peer { now, now, false, false, m_membership.record().find(holder)->dataCenter, {}, {} });
+    for (const auto holder : m_membership.otherMembers()) {
+        const auto [it, isNew] = m_peers.try_emplace(holder);
+        if (!isNew)
+            continue;
+        it->second.lastAnswerAt = now;
+        it->second.knownSince = now;
+        it->second.dataCenter = m_membership.record().find(holder)->dataCenter;
+    }
     sumLoads();
     if (number(m_membership.self()) == 0)
         return;
@@ -139,9 +147,13 @@
 
 // Heartbeats.
 
-wire::Heartbeat PeerLink::ownHeartbeat()
+wire::Heartbeat PeerLink::ownHeartbeat(HolderId to)
 {
     wire::Heartbeat beat;
+    auto& peer = m_peers[to];
+    beat.sequence = ++peer.lastSent;
+    beat.acknowledged = peer.lastSeen;
+    peer.lastSentAt = m_loop.now();
     beat.holder = static_cast<std::int64_t>(number(m_membership.self()));
     beat.dataCenter = m_membership.selfMember().dataCenter.value();
     beat.membersVersion = static_cast<std::int64_t>(m_membership.record().version);
@@ -153,12 +165,39 @@
     return beat;
 }
 
+// One member of each pair starts their exchanges, about half of them each.
+bool PeerLink::initiatesTo(HolderId other) const
+{
+    const auto own = number(m_membership.self());
+    return (own < number(other)) == ((own + number(other)) % 2 == 0);
+}
+
+bool PeerLink::isNear(const Member& member) const { return member.dataCenter == m_membership.selfMember().dataCenter; }
+
+Duration PeerLink::exchangePeriod() const
+{
+    const auto& members = m_membership.record().members;
+    const auto far = static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), [this](const Member& member) { return !isNear(member); }));
+    return m_heartbeat * static_cast<int>(1 + far / s_farExchanges);
+}
+
+// Exchanges with every member of the own data centre, and with a few of the others in turn, so that the bytes of one
+// process do not grow with the fleet.
 void PeerLink::beat()
 {
+    std::vector<const Member*> far;
     for (const auto& member : m_membership.record().members) {
-        if (member.holder != m_membership.self())
+        if (member.holder == m_membership.self() || !initiatesTo(member.holder))
+            continue;
+        if (isNear(member))
             beatPeer(member);
+        else
+            far.push_back(&member);
     }
+    for (std::size_t i = 0; i < std::min(far.size(), s_farExchanges); ++i)
+        beatPeer(*far[m_rotation++ % far.size()]);
+    m_freshness.setPeerSilence(s_exchangesPerSilence * exchangePeriod());
     sumLoads();
 }
 
@@ -168,9 +207,8 @@
     if (peer.isAsked)
         return;
     peer.isAsked = true;
-    const auto sentAt = m_loop.now();
-    send(member.holder, "heartbeat", ownHeartbeat(), s_callTimeout,
-        [this, sentAt, holder = member.holder](HttpOutcome outcome) {
+    send(member.holder, "heartbeat", ownHeartbeat(member.holder), s_callTimeout,
+        [this, holder = member.holder](HttpOutcome outcome) {
             const auto found = m_peers.find(holder);
             if (found == m_peers.end())
                 return;
@@ -178,11 +216,11 @@
             const auto answer = parse<wire::Heartbeat>(outcome);
             if (!answer || HolderId(static_cast<std::uint64_t>(answer->holder)) != holder)
                 return;
-            takeHeartbeat(*answer, sentAt, true);
+            takeHeartbeat(*answer);
         });
 }
 
-void PeerLink::takeHeartbeat(const wire::Heartbeat& beat, TimePoint sentAt, bool isAnswer)
+void PeerLink::takeHeartbeat(const wire::Heartbeat& beat)
 {
     const HolderId holder { static_cast<std::uint64_t>(beat.holder) };
     const bool isSame = static_cast<std::uint64_t>(beat.configDigest) == m_config.store().digest();
@@ -191,11 +229,14 @@
     if (!isSame)
         fetchConfig(holder);
     const auto found = m_peers.find(holder);
-    if (found == m_peers.end() || !isAnswer)
+    if (found == m_peers.end())
         return;
-    const Duration age { std::min<std::int64_t>(beat.confirmationAgeMs, Duration::max().count() / 2) };
-    m_freshness.peerAnswered(holder, sentAt, age, isSame);
     auto& peer = found->second;
+    peer.lastSeen = beat.sequence;
+    const Duration age { std::min<std::int64_t>(beat.confirmationAgeMs, Duration::max().count() / 2) };
+    // An older acknowledgement says nothing of the message's age.
+    if (beat.acknowledged == peer.lastSent && peer.lastSent > 0)
+        m_freshness.peerAnswered(holder, peer.lastSentAt, age, isSame);
     peer.hasAnswered |= isSame;
     peer.lastAnswerAt = m_loop.now();
     peer.dataCenter = DataCenterId(beat.dataCenter);
@@ -245,7 +286,7 @@
 
 bool PeerLink::isFresh(const Peer& peer) const
 {
-    return m_loop.now() - peer.lastAnswerAt <= s_heartbeatsPerLoad * m_heartbeat;
+    return m_loop.now() - peer.lastAnswerAt <= s_exchangesPerLoad * exchangePeriod();
 }
 
 void PeerLink::sumLoads()
@@ -445,8 +486,9 @@
         replyMalformed(responder);
         return;
     }
-    takeHeartbeat(beat, m_loop.now(), false);
-    reply(responder, ownHeartbeat());
+    takeHeartbeat(beat);
+    const HolderId sender { static_cast<std::uint64_t>(beat.holder) };
+    reply(responder, ownHeartbeat(sender));
 }
 
 void PeerLink::serveConfig(const std::string& body, HttpResponder& responder)
--- a/tools/marigold-entry/PeerLink.h
+++ b/tools/marigold-entry/PeerLink.h
@@ -54,6 +54,9 @@
     // True once every other member answered, or had time to do so: the configuration is compared with theirs.
     bool isAcquainted();
 
+    // Longest time between two exchanges with a member, when none is lost.
+    Duration exchangePeriod() const;
+
     // When the member last answered a heartbeat, counted from when it was first known here.
     TimePoint lastAnswer(HolderId) const;
 
@@ -68,6 +71,10 @@
         TimePoint knownSince;
         bool hasAnswered { false };
         bool isAsked { false };
+        // The receiver's proof of a message's age: it was made after the own message that it acknowledges.
+        std::int64_t lastSent { 0 };
+        TimePoint lastSentAt;
+        std::int64_t lastSeen { 0 };
         DataCenterId dataCenter;
         std::map<PoolId, Slots> freeSlots;
         struct Load {
@@ -83,8 +90,10 @@
         HolderId, const std::string& name, const Message&, Duration timeout, std::function<void(HttpOutcome)> callback);
     void beat();
     void beatPeer(const Member&);
-    wire::Heartbeat ownHeartbeat();
-    void takeHeartbeat(const wire::Heartbeat&, TimePoint sentAt, bool isAnswer);
+    wire::Heartbeat ownHeartbeat(HolderId to);
+    void takeHeartbeat(const wire::Heartbeat&);
+    bool initiatesTo(HolderId) const;
+    bool isNear(const Member&) const;
     void fetchConfig(HolderId);
     void fetchMembers(HolderId);
     void deliver(ClaimHandover);
@@ -111,6 +120,7 @@
     std::map<HolderId, Peer> m_peers;
     std::map<TeamId, Slots> m_runningElsewhere;
     std::set<TeamId> m_shortElsewhere;
+    std::size_t m_rotation { 0 };
     int m_undelivered { 0 };
     bool m_isAcquainted { false };
 };
