--- a/benchmarks/DataCenterMeasure.cpp
+++ b/benchmarks/DataCenterMeasure.cpp
@@ -1,4 +1,108 @@
+// Work done by class while a data centre leaves and returns, against the same time undisturbed.
+#include "Cluster.h"
 #include "Measures.h"
+
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
 namespace marigoldlink::benchmarks {
-void measureDataCenter() { }
+
+namespace {
+
+    using testing::Cluster;
+    using testing::ClusterOptions;
+    using testing::Json;
+
+    constexpr Duration s_time { 18000 };
+    constexpr Duration s_leaveAfter { 4000 };
+    constexpr Duration s_awayFor { 8000 };
+
+    std::string exampleText()
+    {
+        std::ifstream in(std::string(MARIGOLD_SOURCE_DIRECTORY) + "/examples/celazime.toml");
+        std::ostringstream text;
+        text << in.rdbuf();
+        return text.str();
+    }
+
+    Flow flow(const std::string& queue, const std::string& key, double rate, std::int64_t workMs,
+        std::int64_t deadlineMs, bool isIdempotent)
+    {
+        Flow result;
+        result.queue = queue;
+        result.key = key;
+        result.rate = rate;
+        result.workMs = workMs;
+        result.deadlineMs = deadlineMs;
+        result.isIdempotent = isIdempotent;
+        return result;
+    }
+
+    template <typename Function> Json runLoad(Function disturb)
+    {
+        ClusterOptions options;
+        options.dataCenters = { "riga-1", "riga-2", "riga-3" };
+        options.entriesPerDataCenter = 2;
+        options.workersPerDataCenter = 16;
+        options.workersPerProcess = 16;
+        options.slots = 8;
+        options.text = exampleText();
+        Cluster cluster(options);
+        const auto gates = cluster.grant("gates");
+        const auto bookings = cluster.grant("bookings");
+        const auto finance = cluster.grant("finance");
+        cluster.sleep(Duration(3000));
+        auto load = cluster.load(
+            { flow("gate-scan", gates, 200, 150, 1400, true), flow("booking", bookings, 120, 250, 5000, false),
+                flow("settlement", finance, 40, 1000, 20000, true) },
+            s_time);
+        load.isRetrying = true;
+        Json report;
+        std::thread thread([&] {
+            EventLoop loop;
+            Load run(loop, load);
+            run.run();
+            report = Json::parse(run.report());
+        });
+        disturb(cluster);
+        thread.join();
+        return report;
+    }
+
+    void print(const std::string& name, const Json& report)
+    {
+        for (const auto& item : report.at("flows")) {
+            std::cout << std::left << std::setw(30) << name << std::setw(14) << item.at("queue").get<std::string>()
+                      << std::right << std::setw(7) << item.at("sent") << std::setw(10) << item.at("answered")
+                      << std::setw(9) << item.at("wait_ms").at("p99") << std::setw(9) << item.at("wait_ms").at("p99.9")
+                      << std::setw(8) << item.at("wait_ms").at("max") << std::setw(8)
+                      << (report.at("clean").get<bool>() ? "yes" : "no") << '\n';
+        }
+    }
+
+} // namespace
+
+void measureDataCenter()
+{
+    std::cout << std::left << std::setw(30) << "Celazime's fleet, 18 s of load" << std::setw(14) << "queue"
+              << std::right << std::setw(7) << "sent" << std::setw(10) << "answered" << std::setw(9) << "p99 ms"
+              << std::setw(9) << "p99.9" << std::setw(8) << "max" << std::setw(8) << "clean" << '\n';
+    print("undisturbed", runLoad([](Cluster&) {}));
+    print("out after 4 s, back at 12 s", runLoad([](Cluster& cluster) {
+        cluster.sleep(s_leaveAfter);
+        cluster.ctl({ "dc", "out", "riga-2" });
+        cluster.sleep(s_awayFor);
+        cluster.ctl({ "dc", "back", "riga-2" });
+    }));
+    print("cut off 4 s to 12 s", runLoad([](Cluster& cluster) {
+        cluster.sleep(s_leaveAfter);
+        cluster.cutOff("riga-2", true);
+        cluster.sleep(s_awayFor);
+        cluster.heal();
+    }));
+}
+
 } // namespace marigoldlink::benchmarks
--- a/benchmarks/PlannerMeasure.cpp
+++ b/benchmarks/PlannerMeasure.cpp
@@ -1,4 +1,154 @@
+// The keeper's planner on fleets of several sizes: time of a round, roll-out, moves and buffer.
 #include "Measures.h"
+#include "marigoldlink/Coordination/FleetPlanner.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iomanip>
+#include <iostream>
+
 namespace marigoldlink::benchmarks {
-void measurePlanner() { }
+
+namespace {
+
+    constexpr std::size_t s_rackSize = 4;
+    constexpr int s_mostRounds = 5000;
+
+    struct Shape {
+        const char* name;
+        std::size_t instances;
+        std::size_t pools; // without the spare pool
+        std::size_t dataCenters;
+        Slots slots;
+        double spare; // part of the instances beyond need and buffer
+    };
+
+    struct Fleet {
+        FleetText text;
+        FleetView view;
+
+        explicit Fleet(const Shape& shape)
+        {
+            view.text = &text;
+            const auto needed
+                = static_cast<double>(shape.instances) * (1 - shape.spare) / static_cast<double>(shape.pools);
+            for (std::size_t i = 0; i <= shape.pools; ++i) {
+                Pool pool;
+                pool.id = PoolId("pool-" + std::to_string(i));
+                pool.isSpare = i == shape.pools;
+                text.pools[pool.id] = pool;
+                if (pool.isSpare)
+                    continue;
+                Service service;
+                service.id = ServiceId(pool.id.value());
+                service.pool = pool.id;
+                service.needSlots = static_cast<Slots>(needed) * shape.slots;
+                text.services[service.id] = service;
+            }
+            for (std::size_t i = 0; i < shape.instances; ++i) {
+                InstanceInfo info;
+                info.id = InstanceId("instance-" + std::to_string(i));
+                const auto dataCenter = i % shape.dataCenters;
+                info.dataCenter = DataCenterId("dc-" + std::to_string(dataCenter));
+                info.rack = RackId(info.dataCenter.value() + "-" + std::to_string(i / shape.dataCenters / s_rackSize));
+                info.slots = shape.slots;
+                view.listed[info.id] = info;
+            }
+        }
+
+        void finishDrainsAndReboots()
+        {
+            view.drained.clear();
+            view.healthy.clear();
+            for (const auto& [id, record] : view.records) {
+                if (record.phase == InstancePhase::Draining)
+                    view.drained.insert(id);
+                if (record.phase == InstancePhase::Rebooting)
+                    view.healthy.insert(id);
+            }
+        }
+    };
+
+    struct Run {
+        int rounds { 0 };
+        std::size_t moves { 0 };
+        double worstMs { 0 };
+        double totalMs { 0 };
+        bool wasShort { false };
+    };
+
+    Run runToRest(Fleet& fleet)
+    {
+        const FleetPlanner planner { {} };
+        Run run;
+        while (run.rounds < s_mostRounds) {
+            const auto begin = std::chrono::steady_clock::now();
+            const auto changes = planner.plan(fleet.view);
+            const auto ms = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begin).count();
+            run.worstMs = std::max(run.worstMs, ms);
+            run.totalMs += ms;
+            if (changes.empty())
+                break;
+            ++run.rounds;
+            for (const auto& change : changes) {
+                fleet.view.records[change.next.id] = change.next;
+                run.moves += change.reason == ChangeReason::Deficit || change.reason == ChangeReason::Surplus;
+            }
+            fleet.finishDrainsAndReboots();
+            for (const auto& state : FleetPlanner::poolStates(fleet.view))
+                run.wasShort |= state.isShort();
+        }
+        return run;
+    }
+
+    // Buffer of three ways to size it, and the part of the need that is left after the loss of each pool's largest
+    // rack.
+    void printBuffers(const Shape& shape, const Fleet& fleet)
+    {
+        Slots needed = 0;
+        Slots rackBuffer = 0;
+        Slots worstRack = 0;
+        for (const auto& state : FleetPlanner::poolStates(fleet.view)) {
+            if (state.needed == 0)
+                continue;
+            needed += state.needed;
+            rackBuffer += state.buffer;
+            worstRack = std::max(worstRack, state.buffer);
+        }
+        const auto pools = static_cast<Slots>(shape.pools);
+        const auto percent
+            = [needed](Slots slots) { return 100.0 * static_cast<double>(slots) / static_cast<double>(needed); };
+        const auto fixed = needed / 5;
+        std::cout << "  buffer in % of need: largest rack of each pool " << percent(rackBuffer)
+                  << ", a fifth of the need " << percent(fixed) << ", one spare instance a pool "
+                  << percent(pools * shape.slots) << "; instances of one pool in its fullest rack "
+                  << worstRack / shape.slots << '\n';
+    }
+
+} // namespace
+
+void measurePlanner()
+{
+    const Shape shapes[] { { "Celazime", 48, 4, 3, 8, 0.25 }, { "Flammwacht", 52, 4, 4, 8, 0.25 },
+        { "a third of the target", 1100, 27, 22, 8, 0.12 }, { "two thirds", 2200, 27, 22, 8, 0.12 },
+        { "target", 3300, 27, 22, 8, 0.12 } };
+    std::cout << std::fixed << std::setprecision(2);
+    for (const auto& shape : shapes) {
+        Fleet fleet(shape);
+        const auto first = runToRest(fleet);
+        std::cout << shape.name << ": " << shape.instances << " instances, " << shape.pools << " pools\n"
+                  << "  first placement: " << first.rounds << " rounds, " << first.moves << " moves, worst round "
+                  << first.worstMs << " ms\n";
+        printBuffers(shape, fleet);
+        fleet.view.round = 1;
+        const auto wave = runToRest(fleet);
+        std::size_t maintained = 0;
+        for (const auto& [id, record] : fleet.view.records)
+            maintained += record.maintainedRound == 1;
+        std::cout << "  maintenance: " << maintained << " of " << shape.instances << " in " << wave.rounds
+                  << " rounds, " << wave.moves << " moves, worst round " << wave.worstMs << " ms, mean "
+                  << wave.totalMs / wave.rounds << " ms, pool short: " << (wave.wasShort ? "yes" : "no") << '\n';
+    }
+}
+
 } // namespace marigoldlink::benchmarks
--- a/include/marigoldlink/Coordination/FairQueue.h
+++ b/include/marigoldlink/Coordination/FairQueue.h
@@ -20,7 +20,7 @@
 struct Candidate {
     TeamId team;
     double share { 1 };
-    Slots usage { 0 }; // slots that the team occupies in the whole fleet, as far as known
+    double usage { 0 }; // slots that the team occupies, with the correction of its credit
 };
 
 // Chooses among teams. The candidates are never empty and are sorted by team.
@@ -32,8 +32,8 @@
         } -> std::convertible_to<std::size_t>;
 };
 
-// Chooses the team that occupies the fewest slots for its share in the whole fleet.
-class FleetUsagePolicy {
+// Chooses the team that occupies the fewest slots for its share.
+class LeastUsagePolicy {
 public:
     std::size_t choose(const std::vector<Candidate>&);
 };
@@ -48,7 +48,7 @@
     TeamId m_last;
 };
 
-static_assert(SharePolicy<FleetUsagePolicy>);
+static_assert(SharePolicy<LeastUsagePolicy>);
 static_assert(SharePolicy<DeficitRoundRobinPolicy>);
 
 struct QueueLimits {
@@ -97,7 +97,7 @@
     Policy m_policy;
 };
 
-extern template class FairQueue<FleetUsagePolicy>;
+extern template class FairQueue<LeastUsagePolicy>;
 extern template class FairQueue<DeficitRoundRobinPolicy>;
 
 } // namespace marigoldlink
--- a/include/marigoldlink/Coordination/FleetPlanner.h
+++ b/include/marigoldlink/Coordination/FleetPlanner.h
@@ -19,6 +19,7 @@
     std::set<DataCenterId> out; // data centres taken out of service
     std::set<InstanceId> drained; // draining instances that run nothing and get nothing new
     std::set<InstanceId> healthy; // instances that answer
+    std::set<PoolId> frozen; // pools whose availability budget is spent
     std::uint64_t round { 0 }; // maintenance round that every instance has to reach
 };
 
--- a/include/marigoldlink/Protocol/Adapters.h
+++ b/include/marigoldlink/Protocol/Adapters.h
@@ -125,7 +125,8 @@
     StopCallback onStop, HolderCallback onHolder, std::function<void(bool)> onDone)
 {
     workers.openLease(endpoint, holder, ttl, onLease);
-    workers.renewLease(endpoint, lease, onLease);
+    // Extends the lease to the time from the worker's receipt on.
+    workers.renewLease(endpoint, lease, ttl, onLease);
     workers.start(endpoint, start, onTask);
     workers.stop(endpoint, task, onStop);
     workers.checkpoint(endpoint, task, onStop);
--- a/include/marigoldlink/Protocol/RecordCodec.h
+++ b/include/marigoldlink/Protocol/RecordCodec.h
@@ -20,6 +20,9 @@
 std::string encode(const InstanceRecord&);
 InstanceRecord decodeInstanceRecord(const std::string& value);
 
+std::string encode(const BudgetRecord&);
+BudgetRecord decodeBudgetRecord(const std::string& value);
+
 std::string encode(const CustomerRecord&);
 CustomerRecord decodeCustomerRecord(const std::string& value);
 
--- a/include/marigoldlink/State/Records.h
+++ b/include/marigoldlink/State/Records.h
@@ -100,6 +100,12 @@
     bool isLeaving { false };
 };
 
+// What a service missed of its need in one window.
+struct BudgetRecord {
+    std::uint64_t window { 0 };
+    double missedSlotSeconds { 0 };
+};
+
 // A customer's settings, kept apart from the text so that no edit of it removes them.
 struct CustomerRecord {
     CustomerId id;
@@ -116,10 +122,12 @@
     inline const std::string members = "members";
     inline const std::string instancePrefix = "instance/";
     inline const std::string customerPrefix = "customer/";
+    inline const std::string budgetPrefix = "budget/";
     inline std::string grants(const TeamId& team) { return "config/key/" + team.value(); }
     inline std::string dataCenter(const DataCenterId& id) { return "config/dc/" + id.value(); }
     inline std::string escrow(const TeamId& team) { return "escrow/" + team.value(); }
     inline std::string instance(const InstanceId& id) { return instancePrefix + id.value(); }
+    inline std::string budget(const ServiceId& id) { return budgetPrefix + id.value(); }
     inline std::string customer(const CustomerId& id) { return customerPrefix + id.value(); }
 } // namespace keys
 
--- a/include/marigoldlink/Transport/HttpClient.h
+++ b/include/marigoldlink/Transport/HttpClient.h
@@ -22,6 +22,7 @@
     Kind kind { Kind::NotSent };
     int status { 0 };
     std::string body;
+    std::string entityTag; // of the answer's ETag header
 
     bool isOk() const { return kind == Kind::Answered && status == 200; }
 };
--- a/include/marigoldlink/Transport/HttpPlatform.h
+++ b/include/marigoldlink/Transport/HttpPlatform.h
@@ -21,6 +21,9 @@
 
     HttpClient& m_client;
     Endpoint m_endpoint;
+    // The last instance list and its tag. The platform sends the list again only when it changed.
+    std::string m_instancesTag;
+    std::vector<InstanceInfo> m_instances;
 };
 
 static_assert(PlatformAdapter<HttpPlatform>);
--- a/include/marigoldlink/Transport/HttpWorkers.h
+++ b/include/marigoldlink/Transport/HttpWorkers.h
@@ -11,7 +11,7 @@
     explicit HttpWorkers(HttpClient&);
 
     void openLease(const Endpoint&, HolderId, Duration ttl, LeaseCallback);
-    void renewLease(const Endpoint&, const LeaseId&, LeaseCallback);
+    void renewLease(const Endpoint&, const LeaseId&, Duration ttl, LeaseCallback);
     void start(const Endpoint&, const TaskStart&, TaskCallback);
     void stop(const Endpoint&, const TaskId&, StopCallback);
     void checkpoint(const Endpoint&, const TaskId&, StopCallback);
--- a/lib/Coordination/FairQueue.cpp
+++ b/lib/Coordination/FairQueue.cpp
@@ -6,11 +6,11 @@
 
 namespace marigoldlink {
 
-std::size_t FleetUsagePolicy::choose(const std::vector<Candidate>& candidates)
+std::size_t LeastUsagePolicy::choose(const std::vector<Candidate>& candidates)
 {
     const auto relativeUsage = [](const Candidate& candidate) {
         // Half a slot makes the larger share win between two teams without usage.
-        return (static_cast<double>(candidate.usage) + 0.5) / candidate.share;
+        return (candidate.usage + 0.5) / candidate.share;
     };
     const auto best = std::min_element(candidates.begin(), candidates.end(),
         [&](const auto& a, const auto& b) { return relativeUsage(a) < relativeUsage(b); });
@@ -147,7 +147,7 @@
     return found == m_byTeam.end() ? 0 : found->second;
 }
 
-template class FairQueue<FleetUsagePolicy>;
+template class FairQueue<LeastUsagePolicy>;
 template class FairQueue<DeficitRoundRobinPolicy>;
 
 } // namespace marigoldlink
--- a/lib/Coordination/FleetPlanner.cpp
+++ b/lib/Coordination/FleetPlanner.cpp
@@ -111,6 +111,7 @@
             if (const auto* spare = view.text->sparePool())
                 m_spare = spare->id;
             for (const auto& [id, record] : m_records) {
+                m_byPool[record.pool].push_back(id);
                 if (!m_spare.empty() && record.pool == m_spare && m_tally.isServing(record))
                     m_spareInstances.insert(id);
             }
@@ -262,18 +263,49 @@
         {
             if (m_spare.empty())
                 return;
-            for (const auto& [id, record] : m_view.records) {
-                if (m_changed.contains(id) || !isRegular(record.pool) || !m_tally.isServing(record))
+            for (const auto& [pool, unused] : m_tally.states()) {
+                while (isRegular(pool)) {
+                    const auto* record = chooseSurplus(pool);
+                    if (!record)
+                        break;
+                    auto next = *record;
+                    next.phase = InstancePhase::Draining;
+                    next.nextPool = m_spare;
+                    change(std::move(next), ChangeReason::Surplus);
+                }
+            }
+        }
+
+        // The instance whose return leaves the pool spread best, or null when the pool has none to give.
+        const InstanceRecord* chooseSurplus(const PoolId& pool) const
+        {
+            const auto state = m_tally.state(pool);
+            if (state.arriving > 0)
+                return nullptr;
+            const InstanceRecord* best = nullptr;
+            std::pair<Slots, Slots> bestScore;
+            for (const auto& id : instancesOf(pool)) {
+                const auto& record = m_records.at(id);
+                if (m_changed.contains(id) || record.pool != pool || !m_tally.isServing(record))
                     continue;
-                const auto state = m_tally.state(record.pool);
                 // One more instance than the target stays, so that an instance does not go back and forth.
-                if (state.arriving > 0 || state.serving - record.slots < state.target() + record.slots)
+                if (state.serving - record.slots < state.target() + record.slots)
                     continue;
-                auto next = record;
-                next.phase = InstancePhase::Draining;
-                next.nextPool = m_spare;
-                change(std::move(next), ChangeReason::Surplus);
+                const std::pair score { m_tally.inRack(pool, record.rack),
+                    m_tally.inDataCenter(pool, record.dataCenter) };
+                if (best && score <= bestScore)
+                    continue;
+                best = &record;
+                bestScore = score;
             }
+            return best;
+        }
+
+        const std::vector<InstanceId>& instancesOf(const PoolId& pool) const
+        {
+            static const std::vector<InstanceId> none;
+            const auto found = m_byPool.find(pool);
+            return found == m_byPool.end() ? none : found->second;
         }
 
         void maintain()
@@ -293,6 +325,8 @@
             for (const auto& [id, record] : m_view.records) {
                 if (record.maintainedRound >= m_view.round || m_changed.contains(id) || !m_tally.isServing(record))
                     continue;
+                if (m_view.frozen.contains(record.pool))
+                    continue;
                 if (openInFleet >= mostOpen)
                     return;
                 if (open[record.pool] >= m_tally.waveWidth(record.pool) || !mayLose(record))
@@ -322,6 +356,7 @@
         std::map<InstanceId, InstanceRecord> m_records;
         PoolId m_spare;
         std::set<InstanceId> m_spareInstances;
+        std::map<PoolId, std::vector<InstanceId>> m_byPool; // as the round began
         std::set<InstanceId> m_changed;
         std::vector<InstanceChange> m_changes;
     };
--- a/lib/Protocol/RecordCodec.cpp
+++ b/lib/Protocol/RecordCodec.cpp
@@ -129,6 +129,18 @@
     });
 }
 
+std::string encode(const BudgetRecord& record)
+{
+    return Json { { "window", record.window }, { "missed_slot_seconds", record.missedSlotSeconds } }.dump();
+}
+
+BudgetRecord decodeBudgetRecord(const std::string& value)
+{
+    return decoded(value, [](const Json& json) {
+        return BudgetRecord { json.at("window"), json.at("missed_slot_seconds") };
+    });
+}
+
 std::string encode(const CustomerRecord& record)
 {
     return Json {
--- a/lib/Transport/HttpClient.cpp
+++ b/lib/Transport/HttpClient.cpp
@@ -18,6 +18,15 @@
     constexpr std::uint64_t s_pooledIdleMilliseconds = 5000;
     constexpr std::uint64_t s_ioTimeoutMilliseconds = 120000;
 
+    std::string entityTag(const h2o_header_t* headers, std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            if (headers[i].name == &H2O_TOKEN_ETAG->buf)
+                return { headers[i].value.base, headers[i].value.len };
+        }
+        return {};
+    }
+
     bool hasFraming(const h2o_header_t* headers, std::size_t count)
     {
         for (std::size_t i = 0; i < count; ++i) {
@@ -119,6 +128,7 @@
             return nullptr;
         }
         call->outcome.status = status;
+        call->outcome.entityTag = entityTag(headers, count);
         if (isEnd) {
             call->client = nullptr;
             const auto kind = hasFraming(headers, count) ? HttpOutcome::Kind::Answered : HttpOutcome::Kind::Lost;
--- a/lib/Transport/HttpPlatform.cpp
+++ b/lib/Transport/HttpPlatform.cpp
@@ -15,6 +15,7 @@
     constexpr Duration s_callTimeout { 1500 };
     constexpr Duration s_watchWait { 1000 };
 
+    constexpr int s_statusNotModified = 304;
     constexpr int s_statusMissing = 404;
     constexpr int s_statusConflict = 409;
 
@@ -109,12 +110,17 @@
 void HttpPlatform::instances(InstanceListCallback callback)
 {
     HttpCall call { "GET", "/instances", "", {}, s_callTimeout };
-    m_client.send(m_endpoint, std::move(call), [callback = std::move(callback)](HttpOutcome outcome) {
+    if (!m_instancesTag.empty())
+        call.headers.emplace_back("if-none-match", m_instancesTag);
+    m_client.send(m_endpoint, std::move(call), [this, callback = std::move(callback)](HttpOutcome outcome) {
         InstanceListResult result { failure(outcome), {} };
-        if (outcome.isOk()) {
+        if (outcome.kind == HttpOutcome::Kind::Answered && outcome.status == s_statusNotModified) {
+            result = { StoreStatus::Ok, m_instances };
+        } else if (outcome.isOk()) {
             try {
-                result.instances = decodeInstanceList(outcome.body);
-                result.status = StoreStatus::Ok;
+                m_instances = decodeInstanceList(outcome.body);
+                m_instancesTag = outcome.entityTag;
+                result = { StoreStatus::Ok, m_instances };
             } catch (const Error&) {
                 result.status = StoreStatus::Unknown;
             }
--- a/lib/Transport/HttpWorkers.cpp
+++ b/lib/Transport/HttpWorkers.cpp
@@ -77,9 +77,10 @@
     leaseCall(endpoint, target, std::move(callback));
 }
 
-void HttpWorkers::renewLease(const Endpoint& endpoint, const LeaseId& lease, LeaseCallback callback)
+void HttpWorkers::renewLease(const Endpoint& endpoint, const LeaseId& lease, Duration ttl, LeaseCallback callback)
 {
-    leaseCall(endpoint, "/lease/" + lease.value() + "/renew", std::move(callback));
+    const auto target = "/lease/" + lease.value() + "/renew?ttl=" + std::to_string(ttl.count());
+    leaseCall(endpoint, target, std::move(callback));
 }
 
 void HttpWorkers::start(const Endpoint& endpoint, const TaskStart& start, TaskCallback callback)
--- a/test/Cluster.cpp
+++ b/test/Cluster.cpp
@@ -163,7 +163,7 @@
             addEntry(dataCenter);
     }
     for (std::size_t i = 0; i < options.keepers; ++i)
-        startKeeper();
+        startKeeper(options.keeperSettings);
     apply(options.text.empty() ? defaultText(options.dataCenters) : options.text);
     waitFor("every entry leases every worker of its data centre", [this] {
         for (std::size_t i = 0; i < entries.size(); ++i) {
@@ -172,7 +172,7 @@
                 return false;
             std::size_t leased = 0;
             for (const auto& worker : state.value("workers", Json::object()))
-                leased += worker.value("leased", false);
+                leased += worker.value("usable", false);
             if (leased != options.workersPerDataCenter || state.value("members", 0U) != entries.size())
                 return false;
         }
@@ -257,10 +257,10 @@
     entries.push_back({ dataCenter, Endpoint::parse(line), std::move(process), std::move(relay) });
 }
 
-void Cluster::startKeeper()
+void Cluster::startKeeper(const std::string& settings)
 {
-    const auto config = writeFile("keeper.toml",
-        "listen = \"127.0.0.1:0\"\nplatform = \"" + platforms.front().text() + "\"\n" + options.keeperSettings);
+    const auto config = writeFile(
+        "keeper.toml", "listen = \"127.0.0.1:0\"\nplatform = \"" + platforms.front().text() + "\"\n" + settings);
     keepers.emplace_back("marigold-keeper", std::vector<std::string> { "--config", config }, nextLog("keeper"));
     keepers.back().waitForLines("listening", 1);
 }
--- a/test/Cluster.h
+++ b/test/Cluster.h
@@ -73,6 +73,7 @@
     // Sets a fault of the platform for one data centre, or for all with an empty name.
     void platformFault(const std::string& dataCenter, const std::string& mode, std::int64_t delayMs = 0);
     void addEntry(const std::string& dataCenter);
+    void startKeeper(const std::string& settings);
     // Cuts a data centre off from the others, and from the platform too if asked.
     void cutOff(const std::string& dataCenter, bool isPlatformCut);
     void heal();
--- /dev/null
+++ b/test/KeeperTest.cpp
@@ -0,0 +1,102 @@
+// Keepers race, freeze and die: each instance stays in one pool, and capacity follows the text.
+#include "Cluster.h"
+
+#include <csignal>
+#include <gtest/gtest.h>
+#include <set>
+
+namespace marigoldlink::testing {
+
+namespace {
+
+    std::string poolText(const std::vector<std::string>& dataCenters, int need)
+    {
+        auto text = defaultText(dataCenters);
+        const std::string from = "need_slots = 1000";
+        for (auto at = text.find(from); at != std::string::npos; at = text.find(from))
+            text.replace(at, from.size(), "need_slots = " + std::to_string(need));
+        return text;
+    }
+
+    struct Pools {
+        Slots main { 0 };
+        Slots spare { 0 };
+        std::set<std::string> phases;
+        std::uint64_t leastRound { 1000 };
+    };
+
+    Pools poolsOf(Cluster& cluster)
+    {
+        Pools pools;
+        const auto range = cluster.get(cluster.platforms.back(), "/range?prefix=instance/");
+        for (const auto& item : range.at("items")) {
+            const auto record = Json::parse(item.at("value").get<std::string>());
+            const bool isActive = record.at("phase") == "active";
+            pools.phases.insert(record.at("phase"));
+            pools.leastRound = std::min(pools.leastRound, record.at("maintained_round").get<std::uint64_t>());
+            (record.at("pool") == "main" ? pools.main : pools.spare) += isActive ? record.at("slots").get<Slots>() : 0;
+        }
+        return pools;
+    }
+
+    ClusterOptions fleet(int need)
+    {
+        ClusterOptions options;
+        options.keepers = 3;
+        options.text = poolText(options.dataCenters, need);
+        options.keeperSettings = "[timeouts]\nround_ms = 200\nturn_ms = 1500\ndrain_settle_ms = 800\n";
+        return options;
+    }
+
+} // namespace
+
+// 12 instances of 4 slots in 3 racks; three services share the pool.
+TEST(Keeper, CapacityFollowsTheTextWhileKeepersFreezeAndDie)
+{
+    Cluster cluster(fleet(2));
+    EXPECT_LT(poolsOf(cluster).main, 33) << "the rest is spare";
+    cluster.keepers[0].signal(SIGSTOP);
+    cluster.apply(poolText(cluster.options.dataCenters, 11));
+    cluster.waitFor(
+        "the pool has what the text needs", [&] { return poolsOf(cluster).main >= 33; }, Duration(30000));
+    cluster.keepers[0].signal(SIGCONT);
+    cluster.keepers[1].kill();
+    cluster.apply(poolText(cluster.options.dataCenters, 1));
+    cluster.waitFor(
+        "the surplus returns to the spare pool",
+        [&] { return poolsOf(cluster).spare >= 28 && poolsOf(cluster).phases == std::set<std::string> { "active" }; },
+        Duration(30000));
+    EXPECT_GE(poolsOf(cluster).main, 3) << "the need is covered all the time";
+}
+
+TEST(Keeper, MaintenanceRebootsEveryInstanceAndCutsNoRequest)
+{
+    auto options = fleet(4);
+    options.keeperSettings = "[timeouts]\nround_ms = 100\ndrain_settle_ms = 500\n[maintenance]\nround = 1\n";
+    // Discovered instances count as maintained, so the round begins with a second keeper.
+    options.keepers = 1;
+    auto first = options;
+    first.keeperSettings = "[timeouts]\nround_ms = 100\ndrain_settle_ms = 500\n";
+    Cluster cluster(first);
+    ASSERT_EQ(poolsOf(cluster).leastRound, 0U);
+    cluster.keepers[0].kill();
+    cluster.startKeeper(options.keeperSettings);
+    Flow flow;
+    flow.queue = "open";
+    flow.rate = 30;
+    flow.workMs = 60;
+    flow.deadlineMs = 3000;
+    auto load = cluster.load({ flow }, Duration(12000));
+    EventLoop loop;
+    Load run(loop, load);
+    run.run();
+    EXPECT_TRUE(run.isClean()) << run.report();
+    const auto result = Json::parse(run.report()).at("flows").at(0);
+    EXPECT_EQ(result.at("answered"), result.at("sent")) << run.report();
+    cluster.waitFor(
+        "every instance was rebooted", [&] { return poolsOf(cluster).leastRound == 1; }, Duration(60000));
+    for (const auto& worker : cluster.workerEndpoints())
+        EXPECT_EQ(cluster.get(worker, "/stats").value("reboots", 0), 1);
+}
+
+} // namespace marigoldlink::testing
--- /dev/null
+++ b/test/UrgencyTest.cpp
@@ -0,0 +1,73 @@
+// Urgent work keeps moving while deferrable work fills every slot and other queues burst.
+#include "Cluster.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldlink::testing {
+
+namespace {
+
+    // The letter's bound on the start of urgent work.
+    constexpr std::int64_t s_startWithinMs = 1400;
+
+    Flow flow(
+        const std::string& queue, const std::string& key, double rate, std::int64_t workMs, std::int64_t deadlineMs)
+    {
+        Flow result;
+        result.queue = queue;
+        result.key = key;
+        result.rate = rate;
+        result.workMs = workMs;
+        result.deadlineMs = deadlineMs;
+        result.isIdempotent = true;
+        return result;
+    }
+
+    ClusterOptions fleet()
+    {
+        ClusterOptions options;
+        options.entriesPerDataCenter = 2;
+        options.text = defaultText(options.dataCenters, 1000);
+        return options;
+    }
+
+} // namespace
+
+TEST(Urgency, UrgentStartsInTimeWhileDeferrableFillsEverySlot)
+{
+    Cluster cluster(fleet());
+    const auto red = cluster.grant("red");
+    const auto blue = cluster.grant("blue");
+    // 48 slots; deferrable tasks of 5 s keep them all, urgent work needs 12 on average.
+    auto options = cluster.load(
+        { flow("urgent", red, 120, 100, 4000), flow("deferrable", blue, 15, 5000, 60000) }, Duration(10000));
+    EventLoop loop;
+    Load load(loop, options);
+    load.run();
+    EXPECT_TRUE(load.isClean()) << load.report();
+    const auto report = Json::parse(load.report());
+    const auto& urgent = report.at("flows").at(0);
+    EXPECT_EQ(urgent.at("answered"), urgent.at("sent")) << load.report();
+    EXPECT_LE(urgent.at("wait_ms").at("p99.9").get<std::int64_t>(), s_startWithinMs) << load.report();
+    const auto& deferrable = report.at("flows").at(1);
+    EXPECT_EQ(deferrable.at("answered"), deferrable.at("sent")) << "interrupted work ends in time";
+}
+
+TEST(Urgency, UrgentStartsInTimeWhileNormalWorkBursts)
+{
+    Cluster cluster(fleet());
+    const auto red = cluster.grant("red");
+    const auto blue = cluster.grant("blue");
+    // Normal work asks for five times what the pool holds.
+    auto options
+        = cluster.load({ flow("urgent", red, 120, 100, 4000), flow("normal", blue, 600, 400, 2000) }, Duration(6000));
+    EventLoop loop;
+    Load load(loop, options);
+    load.run();
+    EXPECT_TRUE(load.isClean()) << load.report();
+    const auto urgent = Json::parse(load.report()).at("flows").at(0);
+    EXPECT_EQ(urgent.at("answered"), urgent.at("sent")) << load.report();
+    EXPECT_LE(urgent.at("wait_ms").at("p99.9").get<std::int64_t>(), s_startWithinMs) << load.report();
+}
+
+} // namespace marigoldlink::testing
--- a/tools/marigold-entry/Dispatcher.cpp
+++ b/tools/marigold-entry/Dispatcher.cpp
@@ -13,6 +13,9 @@
 
     constexpr Log s_log("dispatch");
     constexpr Duration s_pumpPeriod { 20 };
+    // A team counts as active for so long after its last request.
+    constexpr Duration s_activeTime { 5000 };
+    constexpr Duration s_sharePeriod { 100 };
     constexpr Duration s_fullWorkerPause { 20 };
     constexpr Duration s_resolveRetry { 200 };
     // A started task gets this much longer than its caller waits, so that the caller's answer comes first.
@@ -43,6 +46,7 @@
 void Dispatcher::start()
 {
     m_loop.every(s_pumpPeriod, [this] { pump(); });
+    m_loop.every(s_sharePeriod, [this] { accountShares(); });
 }
 
 std::optional<Ticket> Dispatcher::submit(JobRequest request, std::function<void(JobOutcome)> onDone)
@@ -52,6 +56,7 @@
     if (!queue.push(ticket, request.team, request.urgency))
         return std::nullopt;
     ++m_nextTicket;
+    m_lastRequest[request.team] = m_loop.now();
     m_escrow.wake(request.team);
     if (request.isForwarded)
         m_loop.after(s_longestForwardedWait, [this, ticket] { returnForwarded(ticket); });
@@ -100,6 +105,18 @@
     return teams;
 }
 
+std::set<TeamId> Dispatcher::activeTeams()
+{
+    auto teams = queuedTeams();
+    const auto now = m_loop.now();
+    std::erase_if(m_lastRequest, [this, now](const auto& item) {
+        return now - item.second > s_activeTime && m_escrow.holder().running(item.first) == 0;
+    });
+    for (const auto& [team, time] : m_lastRequest)
+        teams.insert(team);
+    return teams;
+}
+
 EscrowDemand Dispatcher::demand(const TeamId& team) const
 {
     EscrowDemand demand;
@@ -121,7 +138,32 @@
     const auto team = text->teams.find(id);
     if (team == text->teams.end())
         return std::nullopt;
-    return Candidate { id, team->second.share, m_escrow.holder().running(id) + m_peers.runningElsewhere(id) };
+    const auto usage = static_cast<double>(m_escrow.holder().running(id)) + m_credit.correction(id);
+    return Candidate { id, team->second.share, usage };
+}
+
+// Accounts this instance's part of the fleet's usage. The sum over the fleet is what nears the shares.
+void Dispatcher::accountShares()
+{
+    const auto* text = m_textOf();
+    if (!text)
+        return;
+    auto asking = m_peers.teamsElsewhere();
+    for (const auto& [team, account] : m_escrow.holder().accounts()) {
+        if (account.running > 0)
+            asking.try_emplace(team, false);
+    }
+    for (const auto& team : queuedTeams())
+        asking[team] = true;
+    std::vector<TeamUsage> usages;
+    for (const auto& [id, isAsking] : asking) {
+        const auto team = text->teams.find(id);
+        if (team == text->teams.end())
+            continue;
+        const auto slots = static_cast<double>(m_escrow.holder().running(id) + m_peers.runningElsewhere(id));
+        usages.push_back({ id, team->second.share, slots / static_cast<double>(m_members), isAsking });
+    }
+    m_credit.account(m_loop.now(), usages);
 }
 
 void Dispatcher::pump()
--- a/tools/marigold-entry/Dispatcher.h
+++ b/tools/marigold-entry/Dispatcher.h
@@ -5,8 +5,10 @@
 #include "Job.h"
 #include "Metrics.h"
 #include "WorkerLeases.h"
+#include "marigoldlink/Coordination/ShareCredit.h"
 #include "marigoldlink/State/FleetText.h"
 
+#include <algorithm>
 #include <unordered_map>
 
 namespace marigoldlink {
@@ -16,6 +18,8 @@
 public:
     virtual ~PeerLoad() = default;
     virtual Slots runningElsewhere(const TeamId&) const = 0;
+    // Teams that run or queue at some peer, with whether they queue.
+    virtual std::map<TeamId, bool> teamsElsewhere() const = 0;
     virtual bool isShortElsewhere(const TeamId&) const = 0;
     // A peer with a free slot of the pool and idle escrow of the team, or one that can get escrow if that may grow.
     virtual std::optional<HolderId> peerFor(const PoolId&, const TeamId&, bool mayGrow) const = 0;
@@ -31,6 +35,9 @@
 
     void start();
 
+    // Number of entry instances that share the fleet's slots.
+    void setMembers(std::size_t members) { m_members = std::max<std::size_t>(1, members); }
+
     // Queues the request; the callback gets its outcome. Returns the ticket, or nothing when the queue is full.
     std::optional<Ticket> submit(JobRequest, std::function<void(JobOutcome)>);
 
@@ -46,9 +53,11 @@
     std::size_t queued(const PoolId&) const;
     std::size_t queued(const TeamId&) const;
     std::set<TeamId> queuedTeams() const;
+    // Teams with requests now or a short time ago. Peers hear of these alone.
+    std::set<TeamId> activeTeams();
 
 private:
-    using PoolQueue = FairQueue<FleetUsagePolicy>;
+    using PoolQueue = FairQueue<LeastUsagePolicy>;
 
     std::optional<Candidate> candidate(const TeamId&) const;
     bool mayGrowElsewhere(const TeamId&) const;
@@ -68,6 +77,7 @@
     void deadlinePassed(Ticket);
     void schedulePump();
     void wakeTeams();
+    void accountShares();
 
     EventLoop& m_loop;
     HttpWorkers& m_workers;
@@ -81,8 +91,11 @@
     std::map<PoolId, PoolQueue> m_queues;
     std::unordered_map<std::uint64_t, Job> m_jobs;
 
+    ShareCredit m_credit { {} };
+    std::map<TeamId, TimePoint> m_lastRequest;
     std::uint64_t m_nextTicket { 1 };
     std::uint64_t m_nextTask { 1 };
+    std::size_t m_members { 1 };
     bool m_isPumping { false };
     bool m_isPumpScheduled { false };
 };
--- a/tools/marigold-entry/Entry.cpp
+++ b/tools/marigold-entry/Entry.cpp
@@ -100,6 +100,7 @@
 void Entry::membersChanged()
 {
     m_peers->membersChanged();
+    m_dispatcher->setMembers(m_membership->record().members.size());
     const auto self = m_membership->self();
     const auto* member = m_membership->record().find(self);
     const bool isServing = number(self) != 0 && !m_isJoining && m_stage == Stage::Serving;
@@ -197,8 +198,9 @@
         status["escrow"][team.value()] = { { "held", account.held }, { "running", account.running } };
     status["workers"] = Json::object();
     for (const auto& [id, link] : m_leases->links()) {
-        status["workers"][id.value()] = { { "pool", link->record.pool.value() }, { "slots", link->slots },
-            { "own_running", link->ownRunning }, { "leased", !link->lease.empty() } };
+        status["workers"][id.value()]
+            = { { "pool", link->record.pool.value() }, { "slots", link->slots }, { "own_running", link->ownRunning },
+                  { "leased", !link->lease.empty() }, { "usable", m_leases->isUsable(*link) } };
     }
     responder.send({ 200, status.dump(), "application/json", {} });
 }
@@ -217,10 +219,7 @@
                 beat.pools.push_back(load);
         }
     }
-    auto teams = m_dispatcher->queuedTeams();
-    for (const auto& [team, account] : m_escrow->holder().accounts())
-        teams.insert(team);
-    for (const auto& team : teams) {
+    for (const auto& team : m_dispatcher->activeTeams()) {
         wire::TeamLoad load;
         load.team = team.value();
         load.running = m_escrow->holder().running(team);
--- /dev/null
+++ b/tools/marigold-entry/PeerCalls.cpp
@@ -0,0 +1,134 @@
+// Calls of the peer link: claims, handovers, outcomes and passed-on requests.
+#include "PeerWire.h"
+
+#include "../common/Jitter.h"
+
+namespace marigoldlink {
+
+using namespace detail;
+
+namespace {
+
+    constexpr Duration s_forwardGrace { 500 };
+    constexpr Duration s_handoverRetry { 200 };
+
+} // namespace
+
+void PeerLink::deliver(ClaimHandover handover)
+{
+    const bool isObsolete = handover.from != m_membership.self() || !m_membership.record().find(handover.to);
+    if (isObsolete) {
+        --m_undelivered;
+        return;
+    }
+    wire::Handover message;
+    message.sender = static_cast<std::int64_t>(number(handover.from));
+    message.ownersVersion = static_cast<std::int64_t>(handover.ownersVersion);
+    for (const auto& claim : handover.claims)
+        message.claims.push_back(toWire(claim));
+    send(handover.to, "handover", message, peerCallTimeout, [this, handover](HttpOutcome outcome) {
+        if (outcome.isOk()) {
+            --m_undelivered;
+            return;
+        }
+        m_loop.after(jittered(s_handoverRetry), [this, handover] { deliver(handover); });
+    });
+}
+
+void PeerLink::forward(
+    HolderId to, const JobRequest& request, Duration remaining, std::function<void(JobOutcome)> callback)
+{
+    // Counted at once, so that the next choice does not rely on the same slot.
+    auto& peer = m_peers[to];
+    --peer.freeSlots[request.pool];
+    --peer.teams[request.team].idleEscrow;
+    wire::ForwardCall call;
+    call.sender = static_cast<std::int64_t>(number(m_membership.self()));
+    call.team = request.team.value();
+    call.queue = request.queue.value();
+    call.body = request.body;
+    call.remainingMs = remaining.count();
+    call.isIdempotent = request.isIdempotent;
+    call.checkpoint = request.checkpoint;
+    send(to, "forward", call, remaining + s_forwardGrace, [callback = std::move(callback)](HttpOutcome outcome) {
+        if (outcome.kind == HttpOutcome::Kind::NotSent) {
+            callback({ ErrorKind::NoCapacity, {} });
+            return;
+        }
+        auto answer = parse<wire::ForwardReply>(outcome);
+        if (!answer) {
+            callback({ ErrorKind::WorkerLost, {} });
+            return;
+        }
+        if (answer->errorName.empty())
+            callback({ std::nullopt, std::move(answer->body) });
+        else
+            callback({ errorKind(answer->errorName).value_or(ErrorKind::Internal), std::move(answer->body) });
+    });
+}
+
+void PeerLink::claim(const Claim& claim, std::function<void(ClaimReplyResult)> callback)
+{
+    const auto ownerId = owner(claim.request);
+    if (!ownerId) {
+        m_loop.post([callback] { callback({}); });
+        return;
+    }
+    if (*ownerId == m_membership.self()) {
+        const auto answer = m_ledger.claim(claim, m_ledger.ownersVersion(), m_loop.now());
+        m_loop.post([callback, answer] { callback({ true, answer }); });
+        return;
+    }
+    wire::ClaimCall call;
+    call.claim = toWire(claim);
+    call.ownersVersion = static_cast<std::int64_t>(m_ledger.ownersVersion());
+    send(*ownerId, "claim", call, peerCallTimeout, [callback](HttpOutcome outcome) {
+        const auto answer = parse<wire::ClaimReply>(outcome);
+        if (!answer)
+            callback({});
+        else
+            callback({ true, { static_cast<ClaimAnswer::Verdict>(answer->verdict), fromWire(answer->claim) } });
+    });
+}
+
+void PeerLink::endClaim(const Claim& claim, bool isRelease)
+{
+    const auto ownerId = owner(claim.request);
+    if (!ownerId)
+        return;
+    if (*ownerId == m_membership.self()) {
+        if (isRelease)
+            m_ledger.release(claim);
+        else
+            m_ledger.finish(claim, m_loop.now());
+        return;
+    }
+    wire::ClaimEnd message;
+    message.claim = toWire(claim);
+    message.isReleased = isRelease;
+    // A lost message does no harm: the owner asks the claimant when the id comes again.
+    send(*ownerId, "claim-end", message, peerCallTimeout, [](HttpOutcome) {});
+}
+
+void PeerLink::askOutcome(const Claim& claim, std::function<void(std::optional<AttemptOutcome>)> callback)
+{
+    if (claim.claimant == m_membership.self()) {
+        m_loop.post([this, claim, callback] { callback(m_hooks.attemptOutcome(claim)); });
+        return;
+    }
+    wire::OutcomeCall call;
+    call.claim = toWire(claim);
+    send(claim.claimant, "outcome", call, peerCallTimeout, [callback](HttpOutcome outcome) {
+        const auto answer = parse<wire::OutcomeReply>(outcome);
+        if (!answer) {
+            callback(std::nullopt);
+            return;
+        }
+        AttemptOutcome result { answer->isKnown, answer->isRunning, answer->hasAnswer, { std::nullopt, answer->body } };
+        if (!answer->errorName.empty())
+            result.outcome.error = errorKind(answer->errorName).value_or(ErrorKind::Internal);
+        callback(result);
+    });
+}
+
+} // namespace marigoldlink
--- a/tools/marigold-entry/PeerLink.cpp
+++ b/tools/marigold-entry/PeerLink.cpp
@@ -1,22 +1,16 @@
-// Peer messages in Thrift's compact form, carried by HTTP.
-#include "PeerLink.h"
+// Membership, heartbeats and relayed configuration of the peer link.
+#include "PeerWire.h"
 
-#include "../common/Jitter.h"
-#include "marigoldlink/Protocol/PeerCodec.h"
 #include "marigoldlink/Protocol/RecordCodec.h"
-#include "marigoldlink/Support/Log.h"
 
 #include <algorithm>
 
 namespace marigoldlink {
 
+using namespace detail;
+
 namespace {
 
-    constexpr Log s_log("peers");
-    constexpr Duration s_callTimeout { 800 };
-    constexpr Duration s_forwardGrace { 500 };
-    constexpr Duration s_handoverRetry { 200 };
-    constexpr std::size_t s_configReplyBytes = 512 * 1024;
     // Members of other data centres with which a process starts an exchange at each heartbeat.
     constexpr std::size_t s_farExchanges = 4;
     // A peer's load counts for so many exchange periods, and it counts as reached for so many.
@@ -24,38 +18,6 @@
     constexpr int s_exchangesPerSilence = 5;
     // A member that does not answer for so long is not waited for by a new one.
     constexpr Duration s_acquaintanceTime { 1500 };
-    const std::string s_pathPrefix = "/peer/";
-
-    wire::ClaimItem toWire(const Claim& claim)
-    {
-        wire::ClaimItem item;
-        item.request = claim.request.value();
-        item.claimant = static_cast<std::int64_t>(number(claim.claimant));
-        item.attempt = static_cast<std::int64_t>(claim.attempt);
-        item.isFinished = claim.state == ClaimState::Finished;
-        return item;
-    }
-
-    Claim fromWire(const wire::ClaimItem& item)
-    {
-        return { RequestId(item.request), HolderId(static_cast<std::uint64_t>(item.claimant)),
-            static_cast<std::uint64_t>(item.attempt), item.isFinished ? ClaimState::Finished : ClaimState::Running };
-    }
-
-    template <typename Message> void reply(HttpResponder& responder, const Message& message)
-    {
-        responder.send({ 200, encodePeer(message), "application/x-thrift", {} });
-    }
-
-    void replyMalformed(HttpResponder& responder) { responder.send({ 400, {}, "text/plain", {} }); }
-
-    template <typename Message> std::optional<Message> parse(const HttpOutcome& outcome)
-    {
-        Message message;
-        if (!outcome.isOk() || !decodePeer(outcome.body, message))
-            return std::nullopt;
-        return message;
-    }
 
 } // namespace
 
@@ -85,22 +47,6 @@
     membersChanged();
 }
 
-template <typename Message>
-void PeerLink::send(HolderId to, const std::string& name, const Message& message, Duration timeout,
-    std::function<void(HttpOutcome)> callback)
-{
-    const auto* member = m_membership.record().find(to);
-    if (!member) {
-        m_loop.post([callback] { callback({}); });
-        return;
-    }
-    HttpCall call { "POST", s_pathPrefix + name, encodePeer(message), {}, timeout };
-    // The receiver refuses a message for an earlier process at its address.
-    call.headers.emplace_back("x-holder", std::to_string(number(to)));
-    call.headers.emplace_back("x-data-center", m_membership.selfMember().dataCenter.value());
-    m_client.send(member->endpoint, std::move(call), std::move(callback));
-}
-
 void PeerLink::membersChanged()
 {
     const auto now = m_loop.now();
@@ -124,27 +70,6 @@
     }
 }
 
-void PeerLink::deliver(ClaimHandover handover)
-{
-    const bool isObsolete = handover.from != m_membership.self() || !m_membership.record().find(handover.to);
-    if (isObsolete) {
-        --m_undelivered;
-        return;
-    }
-    wire::Handover message;
-    message.sender = static_cast<std::int64_t>(number(handover.from));
-    message.ownersVersion = static_cast<std::int64_t>(handover.ownersVersion);
-    for (const auto& claim : handover.claims)
-        message.claims.push_back(toWire(claim));
-    send(handover.to, "handover", message, s_callTimeout, [this, handover](HttpOutcome outcome) {
-        if (outcome.isOk()) {
-            --m_undelivered;
-            return;
-        }
-        m_loop.after(jittered(s_handoverRetry), [this, handover] { deliver(handover); });
-    });
-}
-
 // Heartbeats.
 
 wire::Heartbeat PeerLink::ownHeartbeat(HolderId to)
@@ -207,7 +132,7 @@
     if (peer.isAsked)
         return;
     peer.isAsked = true;
-    send(member.holder, "heartbeat", ownHeartbeat(member.holder), s_callTimeout,
+    send(member.holder, "heartbeat", ownHeartbeat(member.holder), peerCallTimeout,
         [this, holder = member.holder](HttpOutcome outcome) {
             const auto found = m_peers.find(holder);
             if (found == m_peers.end())
@@ -245,7 +170,7 @@
         peer.freeSlots[PoolId(load.pool)] = load.freeSlots;
     peer.teams.clear();
     for (const auto& load : beat.teams)
-        peer.teams[TeamId(load.team)] = { load.running, load.idleEscrow, load.isShort };
+        peer.teams[TeamId(load.team)] = { load.running, load.idleEscrow, load.isShort, load.queued > 0 };
     if (m_hooks.onChange)
         m_hooks.onChange();
 }
@@ -255,7 +180,7 @@
     wire::ConfigRequest request;
     for (const auto& [key, version] : m_config.store().versions())
         request.versions[key] = static_cast<std::int64_t>(version);
-    send(holder, "config", request, s_callTimeout, [this](HttpOutcome outcome) {
+    send(holder, "config", request, peerCallTimeout, [this](HttpOutcome outcome) {
         const auto answer = parse<wire::ConfigReply>(outcome);
         if (!answer)
             return;
@@ -268,7 +193,7 @@
 
 void PeerLink::fetchMembers(HolderId holder)
 {
-    send(holder, "members", wire::MembersReply {}, s_callTimeout, [this](HttpOutcome outcome) {
+    send(holder, "members", wire::MembersReply {}, peerCallTimeout, [this](HttpOutcome outcome) {
         const auto answer = parse<wire::MembersReply>(outcome);
         if (answer && !answer->record.empty())
             m_membership.offer(decodeMemberRecord(answer->record));
@@ -316,6 +241,20 @@
     return found == m_runningElsewhere.end() ? 0 : found->second;
 }
 
+std::map<TeamId, bool> PeerLink::teamsElsewhere() const
+{
+    std::map<TeamId, bool> teams;
+    for (const auto& [holder, peer] : m_peers) {
+        if (!isFresh(peer))
+            continue;
+        for (const auto& [team, load] : peer.teams) {
+            if (load.running > 0 || load.isQueued)
+                teams[team] |= load.isQueued;
+        }
+    }
+    return teams;
+}
+
 bool PeerLink::isShortElsewhere(const TeamId& team) const { return m_shortElsewhere.contains(team); }
 
 std::optional<HolderId> PeerLink::peerFor(const PoolId& pool, const TeamId& team, bool mayGrow) const
@@ -345,260 +284,4 @@
     return best;
 }
 
-void PeerLink::forward(
-    HolderId to, const JobRequest& request, Duration remaining, std::function<void(JobOutcome)> callback)
-{
-    // Counted at once, so that the next choice does not rely on the same slot.
-    auto& peer = m_peers[to];
-    --peer.freeSlots[request.pool];
-    --peer.teams[request.team].idleEscrow;
-    wire::ForwardCall call;
-    call.sender = static_cast<std::int64_t>(number(m_membership.self()));
-    call.team = request.team.value();
-    call.queue = request.queue.value();
-    call.body = request.body;
-    call.remainingMs = remaining.count();
-    call.isIdempotent = request.isIdempotent;
-    call.checkpoint = request.checkpoint;
-    send(to, "forward", call, remaining + s_forwardGrace, [callback = std::move(callback)](HttpOutcome outcome) {
-        if (outcome.kind == HttpOutcome::Kind::NotSent) {
-            callback({ ErrorKind::NoCapacity, {} });
-            return;
-        }
-        auto answer = parse<wire::ForwardReply>(outcome);
-        if (!answer) {
-            callback({ ErrorKind::WorkerLost, {} });
-            return;
-        }
-        if (answer->errorName.empty())
-            callback({ std::nullopt, std::move(answer->body) });
-        else
-            callback({ errorKind(answer->errorName).value_or(ErrorKind::Internal), std::move(answer->body) });
-    });
-}
-
-// Claims.
-
-void PeerLink::claim(const Claim& claim, std::function<void(ClaimReplyResult)> callback)
-{
-    const auto ownerId = owner(claim.request);
-    if (!ownerId) {
-        m_loop.post([callback] { callback({}); });
-        return;
-    }
-    if (*ownerId == m_membership.self()) {
-        const auto answer = m_ledger.claim(claim, m_ledger.ownersVersion(), m_loop.now());
-        m_loop.post([callback, answer] { callback({ true, answer }); });
-        return;
-    }
-    wire::ClaimCall call;
-    call.claim = toWire(claim);
-    call.ownersVersion = static_cast<std::int64_t>(m_ledger.ownersVersion());
-    send(*ownerId, "claim", call, s_callTimeout, [callback](HttpOutcome outcome) {
-        const auto answer = parse<wire::ClaimReply>(outcome);
-        if (!answer)
-            callback({});
-        else
-            callback({ true, { static_cast<ClaimAnswer::Verdict>(answer->verdict), fromWire(answer->claim) } });
-    });
-}
-
-void PeerLink::endClaim(const Claim& claim, bool isRelease)
-{
-    const auto ownerId = owner(claim.request);
-    if (!ownerId)
-        return;
-    if (*ownerId == m_membership.self()) {
-        if (isRelease)
-            m_ledger.release(claim);
-        else
-            m_ledger.finish(claim, m_loop.now());
-        return;
-    }
-    wire::ClaimEnd message;
-    message.claim = toWire(claim);
-    message.isReleased = isRelease;
-    // A lost message does no harm: the owner asks the claimant when the id comes again.
-    send(*ownerId, "claim-end", message, s_callTimeout, [](HttpOutcome) {});
-}
-
-void PeerLink::askOutcome(const Claim& claim, std::function<void(std::optional<AttemptOutcome>)> callback)
-{
-    if (claim.claimant == m_membership.self()) {
-        m_loop.post([this, claim, callback] { callback(m_hooks.attemptOutcome(claim)); });
-        return;
-    }
-    wire::OutcomeCall call;
-    call.claim = toWire(claim);
-    send(claim.claimant, "outcome", call, s_callTimeout, [callback](HttpOutcome outcome) {
-        const auto answer = parse<wire::OutcomeReply>(outcome);
-        if (!answer) {
-            callback(std::nullopt);
-            return;
-        }
-        AttemptOutcome result { answer->isKnown, answer->isRunning, answer->hasAnswer, { std::nullopt, answer->body } };
-        if (!answer->errorName.empty())
-            result.outcome.error = errorKind(answer->errorName).value_or(ErrorKind::Internal);
-        callback(result);
-    });
-}
-
-// Serving.
-
-void PeerLink::handle(const HttpRequest& request, HttpResponderPtr responder)
-{
-    const std::string path(request.path.substr(std::min(s_pathPrefix.size(), request.path.size())));
-    const std::string body(request.body);
-    if (request.header("x-holder") != std::to_string(number(m_membership.self()))) {
-        replyMalformed(*responder);
-        return;
-    }
-    if (path == "heartbeat")
-        serveHeartbeat(body, *responder);
-    else if (path == "config")
-        serveConfig(body, *responder);
-    else if (path == "members")
-        responder->send({ 200,
-            [this] {
-                wire::MembersReply answer;
-                answer.record = encode(m_membership.record());
-                return encodePeer(answer);
-            }(),
-            "application/x-thrift", {} });
-    else if (path == "claim")
-        serveClaim(body, *responder);
-    else if (path == "claim-end")
-        serveClaimEnd(body, *responder);
-    else if (path == "handover")
-        serveHandover(body, *responder);
-    else if (path == "outcome")
-        serveOutcome(body, *responder);
-    else if (path == "forward")
-        serveForward(body, std::move(responder));
-    else
-        replyMalformed(*responder);
-}
-
-void PeerLink::serveHeartbeat(const std::string& body, HttpResponder& responder)
-{
-    wire::Heartbeat beat;
-    if (!decodePeer(body, beat)) {
-        replyMalformed(responder);
-        return;
-    }
-    takeHeartbeat(beat);
-    const HolderId sender { static_cast<std::uint64_t>(beat.holder) };
-    reply(responder, ownHeartbeat(sender));
-}
-
-void PeerLink::serveConfig(const std::string& body, HttpResponder& responder)
-{
-    wire::ConfigRequest request;
-    if (!decodePeer(body, request)) {
-        replyMalformed(responder);
-        return;
-    }
-    ConfigVersions versions;
-    for (const auto& [key, version] : request.versions)
-        versions[key] = static_cast<std::uint64_t>(version);
-    wire::ConfigReply answer;
-    for (const auto& record : m_config.store().newerThan(versions, s_configReplyBytes)) {
-        wire::ConfigItem item;
-        item.key = record.key;
-        item.version = static_cast<std::int64_t>(record.version);
-        item.writeId = record.writeId;
-        item.body = record.body;
-        answer.items.push_back(std::move(item));
-    }
-    reply(responder, answer);
-}
-
-void PeerLink::serveClaim(const std::string& body, HttpResponder& responder)
-{
-    wire::ClaimCall call;
-    if (!decodePeer(body, call)) {
-        replyMalformed(responder);
-        return;
-    }
-    const auto answer
-        = m_ledger.claim(fromWire(call.claim), static_cast<std::uint64_t>(call.ownersVersion), m_loop.now());
-    wire::ClaimReply message;
-    message.verdict = static_cast<std::int32_t>(answer.verdict);
-    message.claim = toWire(answer.claim);
-    reply(responder, message);
-}
-
-void PeerLink::serveClaimEnd(const std::string& body, HttpResponder& responder)
-{
-    wire::ClaimEnd message;
-    if (!decodePeer(body, message)) {
-        replyMalformed(responder);
-        return;
-    }
-    if (message.isReleased)
-        m_ledger.release(fromWire(message.claim));
-    else
-        m_ledger.finish(fromWire(message.claim), m_loop.now());
-    responder.send({ 200, {}, "text/plain", {} });
-}
-
-void PeerLink::serveHandover(const std::string& body, HttpResponder& responder)
-{
-    wire::Handover message;
-    if (!decodePeer(body, message)) {
-        replyMalformed(responder);
-        return;
-    }
-    ClaimHandover handover { HolderId(static_cast<std::uint64_t>(message.sender)), m_membership.self(),
-        static_cast<std::uint64_t>(message.ownersVersion), {} };
-    for (const auto& item : message.claims)
-        handover.claims.push_back(fromWire(item));
-    m_ledger.receive(handover, m_loop.now());
-    responder.send({ 200, {}, "text/plain", {} });
-}
-
-void PeerLink::serveOutcome(const std::string& body, HttpResponder& responder)
-{
-    wire::OutcomeCall call;
-    if (!decodePeer(body, call)) {
-        replyMalformed(responder);
-        return;
-    }
-    const auto result = m_hooks.attemptOutcome(fromWire(call.claim));
-    wire::OutcomeReply message;
-    message.isKnown = result.isKnown;
-    message.isRunning = result.isRunning;
-    message.hasAnswer = result.hasAnswer;
-    message.body = result.outcome.body;
-    if (result.outcome.error)
-        message.errorName = errorRow(*result.outcome.error).name;
-    reply(responder, message);
-}
-
-void PeerLink::serveForward(const std::string& body, HttpResponderPtr responder)
-{
-    wire::ForwardCall call;
-    if (!decodePeer(body, call)) {
-        replyMalformed(*responder);
-        return;
-    }
-    JobRequest request;
-    request.team = TeamId(call.team);
-    request.queue = QueueId(call.queue);
-    request.isIdempotent = call.isIdempotent;
-    request.isForwarded = true;
-    request.body = std::move(call.body);
-    request.checkpoint = std::move(call.checkpoint);
-    request.deadline = m_loop.now() + Duration(call.remainingMs);
-    const auto answer = [responder](JobOutcome outcome) {
-        wire::ForwardReply message;
-        if (outcome.error)
-            message.errorName = errorRow(*outcome.error).name;
-        message.body = std::move(outcome.body);
-        reply(*responder, message);
-    };
-    if (const auto refusal = m_hooks.runForwarded(std::move(request), answer))
-        answer({ *refusal, {} });
-}
-
 } // namespace marigoldlink
--- a/tools/marigold-entry/PeerLink.h
+++ b/tools/marigold-entry/PeerLink.h
@@ -61,6 +61,7 @@
     TimePoint lastAnswer(HolderId) const;
 
     Slots runningElsewhere(const TeamId&) const override;
+    std::map<TeamId, bool> teamsElsewhere() const override;
     bool isShortElsewhere(const TeamId&) const override;
     std::optional<HolderId> peerFor(const PoolId&, const TeamId&, bool mayGrow) const override;
     void forward(HolderId, const JobRequest&, Duration remaining, std::function<void(JobOutcome)>) override;
@@ -81,6 +82,7 @@
             Slots running { 0 };
             Slots idleEscrow { 0 };
             bool isShort { false };
+            bool isQueued { false };
         };
         std::map<TeamId, Load> teams;
     };
--- a/tools/marigold-entry/WorkerLeases.cpp
+++ b/tools/marigold-entry/WorkerLeases.cpp
@@ -20,6 +20,8 @@
     // Added to the lease time before a lease counts as lapsed, for clocks that run at different speed.
     constexpr Duration s_lapseMargin { 300 };
     constexpr int s_renewalsPerLease = 3;
+    // Shortest mean time between two renewals of this process.
+    constexpr Duration s_renewalSpacing { 60 };
     constexpr int s_failuresBeforeAvoiding = 5;
     constexpr Duration s_failingWorkerPause { 10000 };
 
@@ -115,25 +117,35 @@
             continue;
         }
         needsConfirmation |= !m_membership.confirmedAt() || *m_membership.confirmedAt() <= link->openedAt;
-        if (!link->isRenewing && now - link->lastRenewalSentAt >= m_leaseTime / s_renewalsPerLease)
+        if (!link->isRenewing && now - link->lastRenewalSentAt >= link->leaseTime / s_renewalsPerLease)
             renewLease(link);
     }
     if (needsConfirmation)
         m_membership.confirm();
 }
 
+// With more workers a lease lasts longer, so that renewals stay within a fixed rate. A dead member is found later then,
+// but it is a smaller part of the fleet.
+Duration WorkerLeases::nextLeaseTime() const
+{
+    const auto spaced = s_renewalSpacing * (s_renewalsPerLease * static_cast<std::int64_t>(m_links.size()));
+    return std::max(m_leaseTime, Duration(spaced));
+}
+
 void WorkerLeases::openLease(const WorkerLinkPtr& link)
 {
     link->isOpening = true;
     const auto sentAt = m_loop.now();
     const auto holder = m_membership.self();
-    m_workers.openLease(link->record.endpoint, holder, m_leaseTime, [this, link, sentAt, holder](LeaseResult result) {
+    const auto time = nextLeaseTime();
+    m_workers.openLease(link->record.endpoint, holder, time, [this, link, sentAt, holder, time](LeaseResult result) {
         link->isOpening = false;
         if (result.status != LeaseResult::Status::Valid || holder != m_membership.self()) {
             avoid(*link, jittered(s_openRetryDelay));
             return;
         }
         link->lease = result.lease;
+        link->leaseTime = time;
         link->openedAt = m_loop.now();
         link->lastRenewalSentAt = sentAt;
         takeReport(*link, result);
@@ -144,27 +156,35 @@
 void WorkerLeases::renewLease(const WorkerLinkPtr& link)
 {
     // After a silence of a whole lease time the lease is left to lapse, so that the fate of its tasks gets certain.
-    if (m_loop.now() - link->lastAnswerAt > m_leaseTime) {
+    if (m_loop.now() - link->lastAnswerAt > link->leaseTime) {
         if (hasSurelyLapsed(*link, link->lease))
             leaseLapsed(*link);
         return;
     }
     link->isRenewing = true;
     link->lastRenewalSentAt = m_loop.now();
-    m_workers.renewLease(link->record.endpoint, link->lease, [this, link, lease = link->lease](LeaseResult result) {
-        link->isRenewing = false;
-        if (link->lease != lease)
-            return;
-        if (result.status == LeaseResult::Status::Lapsed)
-            leaseLapsed(*link);
-        else if (result.status == LeaseResult::Status::Valid)
-            takeReport(*link, result);
-    });
+    ++link->unansweredRenewals;
+    // The longer of both times counts while it is not known which one the worker has.
+    const auto time = nextLeaseTime();
+    link->leaseTime = std::max(link->leaseTime, time);
+    m_workers.renewLease(
+        link->record.endpoint, link->lease, time, [this, link, time, lease = link->lease](LeaseResult result) {
+            link->isRenewing = false;
+            if (link->lease != lease)
+                return;
+            if (result.status == LeaseResult::Status::Lapsed)
+                leaseLapsed(*link);
+            else if (result.status == LeaseResult::Status::Valid) {
+                link->leaseTime = time;
+                takeReport(*link, result);
+            }
+        });
 }
 
 void WorkerLeases::takeReport(WorkerLink& link, const LeaseResult& result)
 {
     link.lastAnswerAt = m_loop.now();
+    link.unansweredRenewals = 0;
     link.slots = result.slots;
     link.reportedRunning = result.running;
     link.ownChangeSinceReport = 0;
@@ -176,7 +196,7 @@
 {
     if (link.lease.empty() || link.isLeaving || link.record.phase != InstancePhase::Active)
         return false;
-    if (m_loop.now() < link.avoidUntil || m_loop.now() - link.lastAnswerAt > m_leaseTime)
+    if (m_loop.now() < link.avoidUntil || m_loop.now() - link.lastAnswerAt > link.leaseTime)
         return false;
     const auto confirmedAt = m_membership.confirmedAt();
     return m_membership.isActive() && confirmedAt && *confirmedAt > link.openedAt;
@@ -261,7 +281,8 @@
 {
     if (link.lease != lease)
         return true;
-    return m_loop.now() - link.lastRenewalSentAt > m_leaseTime + s_lapseMargin;
+    const auto longest = link.leaseTime * (1 + link.unansweredRenewals) + s_lapseMargin;
+    return m_loop.now() - link.lastAnswerAt > longest;
 }
 
 void WorkerLeases::reset()
--- a/tools/marigold-entry/WorkerLeases.h
+++ b/tools/marigold-entry/WorkerLeases.h
@@ -15,11 +15,13 @@
     InstanceRecord record;
     bool isLeaving { false }; // from the platform's instance list
     LeaseId lease; // empty without a lease
+    Duration leaseTime { 0 };
     bool isOpening { false };
     TimePoint openedAt;
-    // The lease lapses at the latest a lease time after this.
     TimePoint lastRenewalSentAt;
     TimePoint lastAnswerAt;
+    // Renewals sent since the last answer. A frozen worker may still take each of them just before its lease lapses.
+    int unansweredRenewals { 0 };
     bool isRenewing { false };
     Slots slots { 0 };
     Slots reportedRunning { 0 }; // tasks of all holders at the last answer
@@ -53,6 +55,9 @@
     void taskSucceeded(WorkerLink& link) { link.consecutiveFailures = 0; }
     void avoid(WorkerLink&, Duration);
 
+    // True when tasks may start under the present lease.
+    bool isUsable(const WorkerLink&) const;
+
     // True when tasks under the lease have surely ended: it lapsed at the worker.
     bool hasSurelyLapsed(const WorkerLink&, const LeaseId&) const;
 
@@ -72,7 +77,7 @@
     void openLease(const WorkerLinkPtr&);
     void renewLease(const WorkerLinkPtr&);
     void takeReport(WorkerLink&, const LeaseResult&);
-    bool isUsable(const WorkerLink&) const;
+    Duration nextLeaseTime() const;
 
     EventLoop& m_loop;
     HttpPlatform& m_platform;
--- a/tools/marigold-keeper/Keeper.cpp
+++ b/tools/marigold-keeper/Keeper.cpp
@@ -17,6 +17,9 @@
     constexpr Log s_log("keeper");
     constexpr Duration s_retryDelay { 300 };
     constexpr std::size_t s_mostWritesPerRound = 64;
+    constexpr Duration s_budgetPeriod { 5000 };
+    // Budgets count for the time of one maintenance round.
+    constexpr Duration s_budgetWindow = std::chrono::duration_cast<Duration>(std::chrono::days(49));
     const std::string s_turnKey = "keeper/turn";
 
 } // namespace
@@ -50,6 +53,7 @@
     m_config.start();
     readRecords();
     readList();
+    readBudgets();
     round();
     return endpoint;
 }
@@ -170,12 +174,60 @@
         if (m_config.isOut(id))
             m_view.out.insert(id);
     }
+    accountBudgets();
     const auto changes = m_planner.plan(m_view);
     for (std::size_t i = 0; i < std::min(changes.size(), s_mostWritesPerRound); ++i)
         write(changes[i]);
     m_view.healthy.clear();
 }
 
+void Keeper::accountBudgets()
+{
+    m_meter.account(m_loop.now(), *m_view.text, FleetPlanner::poolStates(m_view));
+    m_view.frozen = frozenPools(*m_view.text, m_spent, s_budgetWindow);
+}
+
+// Writes what was missed and reads what all keepers counted. A keeper that lost its turn writes nothing more.
+void Keeper::readBudgets()
+{
+    const auto pending = m_meter.pending();
+    for (const auto& [service, amount] : pending) {
+        if (hasTurn())
+            writeBudget(service, amount);
+    }
+    m_platform.range(keys::budgetPrefix, [this](RangeResult result) {
+        if (result.status == StoreStatus::Ok) {
+            m_spent.clear();
+            for (const auto& value : result.values) {
+                const auto record = decodeBudgetRecord(value.value);
+                if (record.window == m_view.round)
+                    m_spent[ServiceId(value.key.substr(keys::budgetPrefix.size()))] = record.missedSlotSeconds;
+            }
+        }
+        m_loop.after(jittered(s_budgetPeriod), [this] { readBudgets(); });
+    });
+}
+
+void Keeper::writeBudget(const ServiceId& service, double amount)
+{
+    m_platform.read(keys::budget(service), [this, service, amount](ReadResult result) {
+        if (result.status != StoreStatus::Ok && result.status != StoreStatus::Missing)
+            return;
+        BudgetRecord record;
+        if (result.status == StoreStatus::Ok)
+            record = decodeBudgetRecord(result.value.value);
+        if (record.window != m_view.round)
+            record = { m_view.round, 0 };
+        record.missedSlotSeconds += amount;
+        m_platform.write(
+            keys::budget(service), encode(record), result.value.revision, [this, service, amount](WriteResult written) {
+                // A write whose answer is lost may count twice, which spends too much and never too little.
+                if (written.status == StoreStatus::Ok)
+                    m_meter.settle(service, amount);
+            });
+    });
+}
+
 void Keeper::write(const InstanceChange& change)
 {
     const auto revision = m_revisions.contains(change.next.id) ? m_revisions[change.next.id] : noRevision;
@@ -198,6 +250,15 @@
 void Keeper::answerStatus(HttpResponder& responder) const
 {
     Json status { { "turn", m_hasTurn }, { "changes", m_changes }, { "instances", m_view.records.size() } };
+    status["budgets"] = Json::object();
+    if (m_view.text) {
+        for (const auto& [id, service] : m_view.text->services) {
+            const auto spent = m_spent.find(id);
+            const auto allowed = budgetAllowance(service, s_budgetWindow);
+            status["budgets"][id.value()] = { { "allowed_slot_seconds", allowed },
+                { "missed_slot_seconds", spent == m_spent.end() ? 0 : spent->second } };
+        }
+    }
     status["pools"] = Json::array();
     if (m_view.text) {
         for (const auto& state : FleetPlanner::poolStates(m_view)) {
--- a/tools/marigold-keeper/Keeper.h
+++ b/tools/marigold-keeper/Keeper.h
@@ -4,6 +4,7 @@
 #include "../common/ConfigSync.h"
 #include "KeeperSettings.h"
 #include "marigoldlink/Coordination/FleetPlanner.h"
+#include "marigoldlink/Coordination/ServiceBudget.h"
 #include "marigoldlink/Transport/HttpServer.h"
 #include "marigoldlink/Transport/HttpWorkers.h"
 
@@ -31,6 +32,9 @@
     void reboot(const InstanceRecord&);
     void noteDrains();
     bool hasTurn() const;
+    void accountBudgets();
+    void readBudgets();
+    void writeBudget(const ServiceId&, double amount);
     void answerStatus(HttpResponder&) const;
 
     EventLoop& m_loop;
@@ -46,6 +50,8 @@
     std::map<InstanceId, Revision> m_revisions;
     Revision m_watchedTo { noRevision };
     std::map<InstanceId, Drain> m_drains;
+    BudgetMeter m_meter;
+    std::map<ServiceId, double> m_spent; // of the present window, by the records
     // Lease on the work of all keepers. It only saves work: safety rests on the compare-and-swap of each record.
     std::string m_turnSeen;
     TimePoint m_turnSeenAt;
--- a/tools/marigold-platform-stub/main.cpp
+++ b/tools/marigold-platform-stub/main.cpp
@@ -105,7 +105,7 @@
             watch(port, request, responder);
         } else if (request.path == "/instances") {
             ++m_reads;
-            listInstances(*responder);
+            listInstances(request, *responder);
         } else {
             responder->send({ 404, "{}", "application/json", {} });
         }
@@ -194,7 +194,7 @@
         return m_faults[port].mode == FaultMode::Silent || m_faults[port].mode == FaultMode::Down;
     }
 
-    void listInstances(HttpResponder& responder)
+    void listInstances(const HttpRequest& request, HttpResponder& responder)
     {
         const auto now = m_loop.now();
         std::vector<InstanceInfo> list;
@@ -202,7 +202,13 @@
             if (registration.listedFrom <= now && now - registration.lastSeen < s_registrationLife + m_listLag)
                 list.push_back(registration.info);
         }
-        responder.send({ 200, encode(list), "application/json", {} });
+        const auto body = encode(list);
+        const auto tag = '"' + std::to_string(std::hash<std::string> {}(body)) + '"';
+        // A delayed request has lost its headers and gets the whole list.
+        if (request.native && request.header("if-none-match") == tag)
+            responder.send({ 304, {}, "application/json", { { "etag", tag } } });
+        else
+            responder.send({ 200, body, "application/json", { { "etag", tag } } });
     }
 
     void control(const HttpRequest& request, HttpResponder& responder)
--- a/tools/marigold-worker-stub/main.cpp
+++ b/tools/marigold-worker-stub/main.cpp
@@ -67,7 +67,7 @@
         if (path == "/lease")
             openLease(request, *responder);
         else if (path.starts_with("/lease/") && path.ends_with("/renew"))
-            renewLease(path.substr(7, path.size() - 13), *responder);
+            renewLease(path.substr(7, path.size() - 13), request, *responder);
         else if (path.starts_with("/holder/"))
             answerHolder(std::stoull("0" + path.substr(8)), *responder);
         else if (path.starts_with("/task/") && path.ends_with("/stop"))
@@ -101,7 +101,7 @@
         answerLease(responder, id);
     }
 
-    void renewLease(const std::string& id, HttpResponder& responder)
+    void renewLease(const std::string& id, const HttpRequest& request, HttpResponder& responder)
     {
         lapseLeases();
         const auto found = m_leases.find(id);
@@ -109,6 +109,7 @@
             answer(responder, 410, { { "error", "lease lapsed" } });
             return;
         }
+        found->second.ttl = Duration(std::stoll("0" + request.parameter("ttl")));
         found->second.deadline = m_loop.now() + found->second.ttl;
         answerLease(responder, id);
     }
--- a/unittests/Coordination/FairQueueTest.cpp
+++ b/unittests/Coordination/FairQueueTest.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    using Queue = FairQueue<FleetUsagePolicy>;
+    using Queue = FairQueue<LeastUsagePolicy>;
 
     TeamId team(std::size_t index) { return TeamId("team-" + std::to_string(index)); }
 
@@ -101,7 +101,7 @@
             }
             const auto ticket = queue.pop([&](const TeamId& id) {
                 const auto index = static_cast<std::size_t>(id.value().back() - '0');
-                return std::optional(Candidate { id, shares[index], running[id] });
+                return std::optional(Candidate { id, shares[index], static_cast<double>(running[id]) });
             });
             const auto index = owner.at(*ticket);
             ++running[team(index)];
