--- a/benchmarks/DataCenterMeasure.cpp
+++ b/benchmarks/DataCenterMeasure.cpp
@@ -76,9 +76,10 @@
     {
         for (const auto& item : report.at("flows")) {
             std::cout << std::left << std::setw(30) << name << std::setw(14) << item.at("queue").get<std::string>()
-                      << std::right << std::setw(7) << item.at("sent") << std::setw(10) << item.at("answered")
-                      << std::setw(9) << item.at("wait_ms").at("p99") << std::setw(9) << item.at("wait_ms").at("p99.9")
-                      << std::setw(8) << item.at("wait_ms").at("max") << std::setw(8)
+                      << std::right << std::setw(7) << item.at("sent").get<int>() << std::setw(10)
+                      << item.at("answered").get<int>() << std::setw(9) << item.at("wait_ms").at("p99").get<int>()
+                      << std::setw(9) << item.at("wait_ms").at("p99.9").get<int>() << std::setw(8)
+                      << item.at("wait_ms").at("max").get<int>() << std::setw(8)
                       << (report.at("clean").get<bool>() ? "yes" : "no") << '\n';
         }
     }
--- a/include/marigoldlink/Coordination/FleetPlanner.h
+++ b/include/marigoldlink/Coordination/FleetPlanner.h
@@ -56,6 +56,7 @@
     Slots wave { 0 }; // slots brought in while instances of the pool wait for maintenance
     Slots serving { 0 }; // active and listed instances in data centres in service
     Slots arriving { 0 }; // instances that drain in another pool to join this one
+    Slots returning { 0 }; // instances of the pool that drain for a reboot or reboot
 
     Slots target() const { return needed + buffer + wave; }
     bool isShort() const { return serving < needed; }
--- a/lib/Coordination/FleetPlanner.cpp
+++ b/lib/Coordination/FleetPlanner.cpp
@@ -40,6 +40,8 @@
                 m_byRack[{ record.pool, record.rack }] += slots;
             } else if (record.phase == InstancePhase::Draining && !record.nextPool.empty()) {
                 m_states[record.nextPool].arriving += slots;
+            } else if (record.phase == InstancePhase::Draining || record.phase == InstancePhase::Rebooting) {
+                m_states[record.pool].returning += slots;
             }
             auto& census = m_census[record.pool];
             census.instances += sign;
@@ -154,7 +156,9 @@
             const auto state = m_tally.state(pool);
             if (state.needed == 0)
                 return 0;
-            return std::max<Slots>(state.target(), state.needed + 1) - state.serving - state.arriving;
+            // The wave stands for instances that are out; beyond it they are missing like any other.
+            const auto returning = std::min(state.returning, state.wave);
+            return std::max<Slots>(state.target(), state.needed + 1) - state.serving - state.arriving - returning;
         }
 
         void endDrains()
