--- a/lib/Coordination/Claims.cpp
+++ b/lib/Coordination/Claims.cpp
@@ -55,6 +55,7 @@
             found->second.claims.push_back(held.claim);
     }
     std::vector<ClaimHandover> list;
+    list.reserve(handovers.size());
     for (auto& [holder, handover] : handovers)
         list.push_back(std::move(handover));
     return list;
--- a/lib/Coordination/FleetDiff.cpp
+++ b/lib/Coordination/FleetDiff.cpp
@@ -85,6 +85,7 @@
             found->second.present += record.slots;
     }
     std::vector<PoolCapacity> list;
+    list.reserve(capacities.size());
     for (const auto& [id, capacity] : capacities)
         list.push_back(capacity);
     return list;
--- a/tools/marigold-entry/CallerApi.cpp
+++ b/tools/marigold-entry/CallerApi.cpp
@@ -63,7 +63,7 @@
     , m_dispatcher(dispatcher)
     , m_peers(peers)
     , m_metrics(metrics)
-    , m_attempts({ settings.claimWindow, 16 * 1024 * 1024 })
+    , m_attempts({ settings.claimWindow, std::size_t { 16 } * 1024 * 1024 })
 {
     m_loop.every(s_expirePeriod, [this] { m_attempts.expire(m_loop.now()); });
 }
--- a/tools/marigold-entry/PeerServing.cpp
+++ b/tools/marigold-entry/PeerServing.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    constexpr std::size_t s_configReplyBytes = 512 * 1024;
+    constexpr std::size_t s_configReplyBytes = std::size_t { 512 } * 1024;
 
 } // namespace
 
--- a/tools/marigold-keeper/Keeper.cpp
+++ b/tools/marigold-keeper/Keeper.cpp
@@ -49,7 +49,7 @@
 
 Endpoint Keeper::start()
 {
-    const auto endpoint = m_server.listen(m_settings.listen);
+    auto endpoint = m_server.listen(m_settings.listen);
     m_config.start();
     readRecords();
     readList();
@@ -148,7 +148,7 @@
         const bool isDraining = record.phase == InstancePhase::Draining;
         if (!isDraining && record.phase != InstancePhase::Rebooting)
             continue;
-        m_workers.leasesOf(record.endpoint, HolderId {}, [this, id, epoch = record.epoch](HolderResult result) {
+        m_workers.leasesOf(record.endpoint, HolderId {}, [this, id = id, epoch = record.epoch](HolderResult result) {
             const auto found = m_view.records.find(id);
             if (found == m_view.records.end() || found->second.epoch != epoch)
                 return;
--- a/tools/marigold-load/Load.cpp
+++ b/tools/marigold-load/Load.cpp
@@ -2,6 +2,7 @@
 #include "Load.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -76,7 +77,7 @@
 void Load::scheduleNext(std::size_t flow)
 {
     const auto seconds = std::exponential_distribution<double>(m_options.flows[flow].rate)(m_random);
-    m_loop.after(Duration(static_cast<std::int64_t>(seconds * 1000 + 0.5)), [this, flow] {
+    m_loop.after(Duration(std::llround(seconds * 1000)), [this, flow] {
         if (m_loop.now() >= m_end)
             return;
         const auto id = m_options.prefix + std::to_string(m_requests.size());
--- a/tools/marigold-platform-stub/main.cpp
+++ b/tools/marigold-platform-stub/main.cpp
@@ -292,10 +292,11 @@
         PlatformStub stub(loop, listen.size(), Duration(lag));
         std::list<HttpServer> servers;
         for (std::size_t i = 0; i < listen.size(); ++i) {
-            const auto& server = servers.emplace_back(loop, HttpServer::Limits { 8 * 1024 * 1024, Duration(10000) },
-                [&stub, i](const HttpRequest& request, HttpResponderPtr responder) {
-                    stub.handle(i, request, std::move(responder));
-                });
+            const auto& server
+                = servers.emplace_back(loop, HttpServer::Limits { std::size_t { 8 } * 1024 * 1024, Duration(10000) },
+                    [&stub, i](const HttpRequest& request, HttpResponderPtr responder) {
+                        stub.handle(i, request, std::move(responder));
+                    });
             const auto endpoint = const_cast<HttpServer&>(server).listen(Endpoint::parse(listen[i]));
             std::cout << "listening " << endpoint.text() << std::endl;
         }
--- a/tools/marigold-worker-stub/main.cpp
+++ b/tools/marigold-worker-stub/main.cpp
@@ -46,7 +46,7 @@
         : m_loop(loop)
         , m_info(std::move(info))
         , m_boot(std::to_string(std::chrono::system_clock::now().time_since_epoch().count()))
-        , m_server(loop, { 8 * 1024 * 1024, Duration(10000) },
+        , m_server(loop, { std::size_t { 8 } * 1024 * 1024, Duration(10000) },
               [this](const HttpRequest& request, HttpResponderPtr responder) { handle(request, std::move(responder)); })
     {
         m_loop.every(Duration(50), [this] { lapseLeases(); });
