A cancelled request that ran in part is not called 'not run'

Cause: three places took a queued request out of its queue, and only the one for the deadline looked whether the request may have run before; found while reading what stands twice. A deferrable task that was interrupted for an urgent one and cancelled while it waited was answered 'cancelled, not run' although it had run in part (Caller.CancelledRequestThatRanInPartIsNotCalledNotRun: cancelled/not run before, worker-lost/unknown after). Ruled out: changing the table's row, since a request that never started is truly not run. Change: one function ends a queued request and replaces the error.

--- a/test/CallerTest.cpp
+++ b/test/CallerTest.cpp
@@ -69,4 +69,32 @@
         EXPECT_EQ(cluster.get(worker, "/stats").value("started", -1), 0);
 }
 
+// A deferrable task runs, is interrupted for an urgent one, waits again, and is cancelled there.
+TEST(Caller, CancelledRequestThatRanInPartIsNotCalledNotRun)
+{
+    ClusterOptions options;
+    options.dataCenters = { "one" };
+    options.workersPerDataCenter = 1;
+    options.slots = 1;
+    Cluster cluster(options);
+    const auto key = cluster.grant("red");
+    const auto submit = [&](const std::string& queue, std::string& error) {
+        HttpCall call { "POST", "/v1/queues/" + queue + "/tasks", "{\"work_ms\":4000}", {}, Duration(15000) };
+        call.headers = { { "authorization", "Bearer " + key }, { "x-request-id", queue } };
+        cluster.client.send(
+            cluster.entries[0].endpoint, call, [&error](HttpOutcome outcome) { error = errorOf(outcome); });
+    };
+    const auto started = [&] { return cluster.get(cluster.workers[0].endpoints[0], "/stats").value("started", 0); };
+    std::string deferrable;
+    std::string urgent;
+    submit("deferrable", deferrable);
+    cluster.waitFor("the deferrable task runs", [&] { return started() == 1; });
+    submit("urgent", urgent);
+    cluster.waitFor("the urgent task runs", [&] { return started() == 2; });
+    cluster.call(cluster.entries[0].endpoint,
+        { "POST", "/v1/requests/deferrable/cancel", {}, { { "authorization", "Bearer " + key } }, Duration(2000) });
+    cluster.waitFor("the cancelled request is answered", [&] { return !deferrable.empty(); });
+    EXPECT_EQ(deferrable, "worker-lost/unknown");
+}
+
 } // namespace marigoldlink::testing
--- a/tools/marigold-entry/Dispatcher.cpp
+++ b/tools/marigold-entry/Dispatcher.cpp
@@ -426,9 +426,16 @@
     const auto found = m_jobs.find(number(ticket));
     if (found == m_jobs.end() || found->second.phase != Job::Phase::Queued || found->second.mayHaveRun)
         return;
-    const auto& request = found->second.request;
-    m_queues.at(request.pool).remove(ticket, request.team, request.urgency);
-    finish(ticket, { m_isHere() ? ErrorKind::NoCapacity : ErrorKind::DataCenterOut, {} });
+    finishQueued(ticket, m_isHere() ? ErrorKind::NoCapacity : ErrorKind::DataCenterOut);
+}
+
+// Ends a request that waits in its queue. The error says "not run" and is replaced if the request may have run before.
+void Dispatcher::finishQueued(Ticket ticket, ErrorKind ifNotRun)
+{
+    const auto& job = m_jobs.at(number(ticket));
+    assert(job.phase == Job::Phase::Queued && "only a queued request is in a queue");
+    m_queues.at(job.request.pool).remove(ticket, job.request.team, job.request.urgency);
+    finish(ticket, { job.mayHaveRun ? endingError(job) : ifNotRun, {} });
 }
 
 void Dispatcher::finish(Ticket ticket, JobOutcome outcome)
@@ -449,8 +456,7 @@
         return;
     auto& job = found->second;
     if (job.phase == Job::Phase::Queued) {
-        m_queues.at(job.request.pool).remove(ticket, job.request.team, job.request.urgency);
-        finish(ticket, { ErrorKind::Cancelled, {} });
+        finishQueued(ticket, ErrorKind::Cancelled);
     } else if (job.phase == Job::Phase::Running) {
         m_workers.stop(job.link->record.endpoint, job.task, [](StopResult) {});
     }
@@ -463,8 +469,7 @@
         return;
     auto& job = found->second;
     if (job.phase == Job::Phase::Queued) {
-        m_queues.at(job.request.pool).remove(ticket, job.request.team, job.request.urgency);
-        finish(ticket, { endingError(job), {} });
+        finishQueued(ticket, ErrorKind::DeadlinePassed);
     } else if (job.phase == Job::Phase::Resolving && job.onDone) {
         // The caller's time is up while the fate of the task is open.
         auto onDone = std::exchange(job.onDone, nullptr);
--- a/tools/marigold-entry/Dispatcher.h
+++ b/tools/marigold-entry/Dispatcher.h
@@ -74,6 +74,7 @@
     void requeue(Ticket);
     void retryOrFail(Ticket, ErrorKind);
     void finish(Ticket, JobOutcome);
+    void finishQueued(Ticket, ErrorKind ifNotRun);
     void deadlinePassed(Ticket);
     void schedulePump();
     void wakeTeams();
