--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -1,6 +1,6 @@
 # One static library a layer. A layer may link only the layers that stand before it in this list, so the
 # build rejects a dependence that points the wrong way. docs/Design.md gives the reasons.
-set(MARIGOLD_LAYERS Support State Coordination Protocol Transport)
+set(MARIGOLD_LAYERS Support State Coordination Protocol Transport Entry)
 
 function(marigold_layer name)
   cmake_parse_arguments(ARG "" "" "SOURCES;LINK;LIBRARIES" ${ARGN})
--- /dev/null
+++ b/include/marigoldlink/Coordination/JobBook.h
@@ -0,0 +1,140 @@
+// All accepted jobs with the state of each task, and what may start next.
+//
+// The book knows nothing of workers beyond their names. Every change that must outlast the coordinator makes the job
+// dirty; the journal writes it, and tells the book which version of the job is stored.
+#pragma once
+
+#include "marigoldlink/State/Fleet.h"
+#include "marigoldlink/State/Jobs.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace marigoldlink {
+
+// One run of a task that may be active on a worker.
+struct ActiveRun {
+    enum class Phase {
+        Ordered, // the start was sent and not answered
+        Running,
+        Stopping, // a stop was sent; its room is in use until its end is listed
+    };
+
+    RunNumber number {};
+    WorkerId worker;
+    Phase phase { Phase::Ordered };
+    TimePoint since; // of the order
+    TimePoint atWorkSince; // of the first report at full work; the epoch while there was none
+    int percent { 0 }; // last reported pace
+    std::int64_t load { 0 }; // last reported: tail in ms of a service with a target, else thousandths of a core
+};
+
+struct Task {
+    bool isDone { false };
+    int failures { 0 };
+    RunNumber lastRun {};
+    std::string checkpoint;
+    std::optional<ActiveRun> run;
+    TimePoint notBefore; // waits after a failed run
+    TimePoint lastAtWork; // a service: when it was last seen at work; the epoch before
+};
+
+struct Step {
+    std::vector<Task> tasks;
+    int done { 0 }; // invariant: number of tasks with isDone
+    int active { 0 }; // invariant: number of tasks with a run
+};
+
+struct Occurrence {
+    std::vector<Step> steps;
+    TimePoint readySince; // when it was due here
+};
+
+struct Job {
+    JobSpec spec;
+    JobQueue queue; // as the last configuration that knew it had it
+    JobState state { JobState::Pending };
+    TimePoint acceptedAt;
+    // True when this coordinator accepted it, so that no run of it is unknown here.
+    bool isOwn { false };
+    bool hasStarted { false };
+    std::map<int, Occurrence> occurrences; // those that are due and not done
+    std::set<int> finishedOccurrences;
+    std::optional<TimePoint> endedAt;
+    // Invariant: storedVersion <= version; the job is dirty while they differ.
+    std::uint64_t version { 0 };
+    std::uint64_t storedVersion { 0 };
+    // State that the store holds; only this is shown to callers.
+    JobState storedState { JobState::Pending };
+
+    bool isActive() const { return state == JobState::Pending || state == JobState::Running; }
+    bool isDirty() const { return storedVersion < version; }
+    const StepSpec& stepSpec(const TaskKey& key) const { return spec.steps[static_cast<std::size_t>(key.step)]; }
+};
+
+// The part of a job that changes, as it is stored.
+struct JobProgress {
+    JobState state { JobState::Pending };
+    struct TaskProgress {
+        bool isDone { false };
+        int failures { 0 };
+        std::string checkpoint;
+    };
+    std::map<TaskKey, TaskProgress> tasks; // only tasks with something to tell
+    std::set<int> finishedOccurrences;
+};
+
+class JobBook {
+public:
+    // Adds a job that was just accepted. It counts as dirty until the journal stored it.
+    Job& accept(JobSpec, const JobQueue&, TimePoint now);
+    // Adds a job as the store holds it. Its runs are numbered from the first number on.
+    Job& restore(JobSpec, const JobProgress&, const JobQueue&, TimePoint now, RunNumber firstRun);
+
+    Job* find(const JobId&);
+    const Job* find(const JobId&) const;
+    Task* findTask(const TaskKey&);
+    const std::map<JobId, std::unique_ptr<Job>>& jobs() const { return m_jobs; }
+    const std::set<JobId>& activeJobs() const { return m_active; }
+    void remove(const JobId&);
+
+    // Opens the occurrences that are due by the wall clock. Returns the next due time, if there is one.
+    std::optional<std::int64_t> openDue(TimePoint now, std::int64_t wallMs);
+
+    // Whether a task may start: its step's turn has come, it is not done and nothing of it runs.
+    bool isStepReady(const Job&, const Occurrence&, int step) const;
+
+    // A run begins. For a gang, call it for each member with one number.
+    RunNumber nextRun(const Job&, const TaskKey&) const;
+    void runOrdered(const TaskKey&, RunNumber, const WorkerId&, TimePoint now);
+    // A run of an earlier coordinator was found on a worker.
+    void runFound(const TaskKey&, RunNumber, const WorkerId&, TimePoint now);
+
+    // A run has ended. Returns false when the end changes nothing, as the run is not known or counted already.
+    bool runEnded(const TaskKey&, RunNumber, RunEnd, const std::string& checkpoint, TimePoint now);
+
+    // Cancels a job. Its runs have to be stopped by the caller.
+    bool cancel(const JobId&, TimePoint now);
+
+    JobProgress progress(const Job&) const;
+    void stored(const JobId&, std::uint64_t version, JobState);
+    std::vector<JobId> takeDirty();
+    void markDirty(Job&);
+
+private:
+    Occurrence& open(Job&, int occurrence, TimePoint now);
+    void taskDone(Job&, const TaskKey&, TimePoint now);
+    void taskFailed(Job&, const TaskKey&, TimePoint now);
+    void end(Job&, JobState, TimePoint now);
+    void finishOccurrence(Job&, int occurrence, TimePoint now);
+
+    std::map<JobId, std::unique_ptr<Job>> m_jobs;
+    std::set<JobId> m_active; // invariant: the jobs that are neither ended nor cancelled
+    std::set<JobId> m_dirty;
+    std::map<JobId, RunNumber> m_firstRun;
+};
+
+} // namespace marigoldlink
--- /dev/null
+++ b/include/marigoldlink/Coordination/Journal.h
@@ -0,0 +1,80 @@
+// Serial journal of a coordinator's records into the key-value service.
+//
+// One write is under way at a time. Each one expects the journal's head at the revision of the write before it and
+// changes the head, so a write that is carried out late finds another head and is void. A write without an answer is
+// sent again as it was; a conflict then tells whether the first copy took effect.
+#pragma once
+
+#include "marigoldlink/State/Records.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace marigoldlink {
+
+// One write, all or nothing.
+struct JournalBatch {
+    std::uint64_t number { 0 }; // rises with each batch; the head's value
+    Revision expectedHead { noRevision };
+    std::vector<std::pair<std::string, std::string>> puts;
+    std::vector<std::string> removals;
+};
+
+enum class JournalAnswer {
+    Stored,
+    Refused, // nothing was done; send it again later
+    Unknown, // it may have been done, or may be done later
+    Conflict, // the head has another revision or is gone
+};
+
+class Journal {
+public:
+    // The key-value service takes at most this many entries in one write (platform's page on its store: 32); the head
+    // and the owner's record take four of them.
+    static constexpr std::size_t mostRecords = 28;
+
+    explicit Journal(Revision head = noRevision, std::uint64_t number = 0)
+        : m_head(head)
+        , m_number(number)
+    {
+    }
+
+    // Queues a record. A record that waits already under the key is replaced.
+    void put(const std::string& key, std::string value);
+    void remove(const std::string& key);
+
+    // The batch to send now, or nothing while one is under way or none waits. A batch without an answer is returned
+    // again, unchanged.
+    std::optional<JournalBatch> next();
+
+    // Takes the answer to the batch. Returns the batch when it is stored for good.
+    std::optional<JournalBatch> answered(JournalAnswer, Revision head);
+
+    // After a conflict that follows an unknown answer: the head was read. Returns the batch when it had taken effect;
+    // nothing when another coordinator wrote, in which case hasLost() holds.
+    std::optional<JournalBatch> headRead(Revision head, std::uint64_t number);
+
+    bool needsHeadRead() const { return m_needsHeadRead; }
+    bool hasLost() const { return m_hasLost; }
+    bool isWriting() const { return m_isWriting; }
+    std::size_t waiting() const { return m_waiting.size() + (m_current ? m_current->puts.size() : 0); }
+
+private:
+    std::optional<JournalBatch> finish(Revision head);
+
+    Revision m_head;
+    std::uint64_t m_number;
+    std::map<std::string, std::optional<std::string>> m_waiting; // nothing: the key is removed
+    std::deque<std::string> m_order; // keys of m_waiting, oldest first
+    std::optional<JournalBatch> m_current;
+    bool m_isWriting { false };
+    bool m_isUncertain { false }; // some copy of the current batch had no answer
+    bool m_needsHeadRead { false };
+    bool m_hasLost { false };
+};
+
+} // namespace marigoldlink
--- /dev/null
+++ b/include/marigoldlink/Coordination/Placement.h
@@ -0,0 +1,82 @@
+// Which task starts next, and on which worker.
+//
+// Pure: it reads the books and returns starts; the caller records and sends them.
+#pragma once
+
+#include "marigoldlink/Coordination/JobBook.h"
+#include "marigoldlink/Coordination/WorkerBook.h"
+
+#include <functional>
+#include <vector>
+
+namespace marigoldlink {
+
+// Running tasks of each team, against its limit.
+class TeamUse {
+public:
+    void add(const TeamId&, const Resources&);
+    void subtract(const TeamId&, const Resources&);
+    bool allows(const JobTeam*, const TeamId&, const Resources& more) const;
+    double milliCores(const TeamId&) const;
+
+private:
+    std::map<TeamId, Resources> m_used;
+};
+
+struct PlannedStart {
+    TaskKey task;
+    RunNumber run {};
+    WorkerId worker;
+};
+
+// A step of one occurrence with tasks that could start now.
+struct ReadyStep {
+    const Job* job { nullptr };
+    int occurrence { 0 };
+    int step { 0 };
+    TimePoint objective; // the job is worth most when it ends before this
+    bool isLate { false }; // it cannot meet the objective any more
+};
+
+// Time that the rest of an occurrence needs at the least, by the callers' estimates.
+Duration remainingChain(const Job&, const Occurrence&);
+// When the occurrence should have ended, counted from when it was due here.
+TimePoint objective(const Job&, const Occurrence&);
+
+class Placement {
+public:
+    using IsUsable = std::function<bool(const Worker&)>;
+    // False while a run of the job that is not known here may be active on a worker of its service.
+    using IsAccountedFor = std::function<bool(const Job&)>;
+
+    Placement(const JobBook& jobs, const WorkerBook& workers, const FleetConfig& config, const TeamUse& use,
+        IsUsable isUsable, IsAccountedFor isAccountedFor)
+        : m_jobs(jobs)
+        , m_workers(workers)
+        , m_config(config)
+        , m_use(use)
+        , m_isUsable(std::move(isUsable))
+        , m_isAccountedFor(std::move(isAccountedFor))
+    {
+    }
+
+    // Starts to order now, most urgent first, at most so many.
+    std::vector<PlannedStart> plan(TimePoint now, std::size_t most) const;
+
+    // Steps that wait, most urgent first.
+    std::vector<ReadyStep> readySteps(TimePoint now) const;
+
+private:
+    struct Candidates;
+    void planStep(const ReadyStep&, TimePoint now, Candidates&, std::size_t most, std::vector<PlannedStart>&) const;
+    void planGang(const ReadyStep&, TimePoint now, Candidates&, std::vector<PlannedStart>&) const;
+
+    const JobBook& m_jobs;
+    const WorkerBook& m_workers;
+    const FleetConfig& m_config;
+    const TeamUse& m_use;
+    IsUsable m_isUsable;
+    IsAccountedFor m_isAccountedFor;
+};
+
+} // namespace marigoldlink
--- /dev/null
+++ b/include/marigoldlink/Coordination/WorkerBook.h
@@ -0,0 +1,78 @@
+// The workers as one coordinator knows them: room, leases, and what it can count on after a takeover.
+//
+// Room is counted from the orders sent, less the ends listed, so what is being stopped and what may have been started
+// still counts.
+#pragma once
+
+#include "marigoldlink/Coordination/LeaseClock.h"
+#include "marigoldlink/State/Fleet.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace marigoldlink {
+
+// What one coordinator knows of one life of a worker.
+struct Worker {
+    WorkerEntry entry;
+    bool isRegistered { false };
+    TimePoint missingSince; // of the registry entry
+    Resources used; // invariant: what the runs here reserve
+    std::map<TaskKey, RunNumber> runs;
+    LeaseClock lease;
+    // True once an answer to this coordinator's fence arrived. Until then an earlier coordinator's tasks may run here.
+    bool isFenced { false };
+    bool isAnswering { false };
+    TimePoint lastAnswer;
+
+    // The look at its runs and ends that is under way or comes next.
+    bool isLookUnderWay { false };
+    TimePoint lookSentAt;
+    TimePoint nextLook;
+
+    // Ends are numbered by the worker from 1 on. An end is acknowledged once all that follows from it is stored.
+    std::int64_t lastEndSeen { 0 };
+    std::int64_t acknowledged { 0 };
+    struct PendingEnd {
+        std::int64_t number { 0 };
+        JobId job;
+        std::uint64_t jobVersion { 0 }; // 0: needs no write
+    };
+    std::deque<PendingEnd> pendingEnds; // by number
+
+    // Starts that failed or did not answer, against those that worked; see WorkerTrust.
+    double recentFailures { 0 };
+    TimePoint distrustedUntil;
+
+    bool isReserved { false }; // kept free for maintenance or a move: nothing is started here
+    std::map<std::tuple<JobId, int, int>, int> tasksByStep; // of job, occurrence and step
+
+    Resources room() const { return entry.capacity - used; }
+};
+
+class WorkerBook {
+public:
+    // Takes a registry entry. Returns the runs of an earlier life of the worker, which are lost.
+    std::map<TaskKey, RunNumber> entryChanged(const WorkerEntry&, TimePoint now);
+    void entryRemoved(const WorkerId&, TimePoint now);
+
+    Worker* find(const WorkerId&);
+    const Worker* find(const WorkerId&) const;
+    std::map<WorkerId, Worker>& workers() { return m_workers; }
+    const std::map<WorkerId, Worker>& workers() const { return m_workers; }
+    void remove(const WorkerId&);
+
+    // Takes and gives back room for a run.
+    void occupy(const WorkerId&, const TaskKey&, RunNumber, const StepSpec&);
+    void release(const WorkerId&, const TaskKey&, RunNumber, const StepSpec&);
+
+    // Starts another life of a worker under its id. Returns the runs of the life before.
+    std::map<TaskKey, RunNumber> reborn(Worker&, std::int64_t bornUnixMs);
+
+private:
+    std::map<WorkerId, Worker> m_workers;
+};
+
+} // namespace marigoldlink
--- /dev/null
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -0,0 +1,174 @@
+// The owner of the fleet's pools: keeps all jobs, places tasks, follows workers, journals what must last.
+//
+// It is a state machine without sockets, clocks or logs of its own: each call takes the time and an event, and leaves
+// orders to be taken with takeOrders(). All that must outlast it lies in the key-value service and with the workers.
+#pragma once
+
+#include "marigoldlink/Coordination/JobBook.h"
+#include "marigoldlink/Coordination/Placement.h"
+#include "marigoldlink/Coordination/WavePlan.h"
+#include "marigoldlink/Coordination/WorkerBook.h"
+#include "marigoldlink/Entry/Orders.h"
+
+#include <functional>
+#include <string_view>
+#include <utility>
+
+namespace marigoldlink {
+
+struct CoordinatorSettings {
+    Duration lease { 3000 }; // what runs is held this long after each order or look
+    Duration longestLease { 6000 }; // what a worker grants at most; an earlier coordinator may have used it all
+    Duration earlierOrders { 4000 }; // an earlier coordinator may order for this long after it lost the ownership
+    Duration statusKept { 120000 }; // ended jobs are told of for at least this long
+    Duration maintenanceTime { 2000 }; // an instance is away this long
+    Duration moveTime { 1500 };
+    Duration noticeTime { 4500 }; // a service's task that is not at work for this long counts as away
+    std::string waveStatusPrefix { "wave-status/" }; // keys under which operators read the state of waves
+};
+
+// A line of the decision log. Bounded and written by the adapter.
+struct Decision {
+    std::string subject; // "job", "task", "worker", "wave" ...
+    std::string id;
+    std::string text;
+};
+
+class Coordinator {
+public:
+    using DecisionLog = std::function<void(const Decision&)>;
+
+    Coordinator(CoordinatorSettings, Term, Journal, TimePoint now, DecisionLog);
+
+    // The state of the store, to be told before the first tick.
+    void restoreJob(JobSpec, const JobProgress&, TimePoint now);
+    void restoreWave(const WaveId&, std::set<std::string> finished);
+    // From here on it decides. Before, it only follows the workers.
+    void restored(TimePoint now);
+
+    // What operators and the registry say.
+    void setOperators(const OperatorState&, TimePoint now);
+    void workerEntry(const WorkerEntry&, TimePoint now);
+    void workerEntryRemoved(const WorkerId&, TimePoint now);
+    void instancesListed(std::vector<FleetInstance>, TimePoint now);
+
+    // Callers.
+    void submit(CallToken, JobSpec, TimePoint now);
+    void cancel(CallToken, const JobId&, TimePoint now);
+    Reply look(const JobId&) const;
+    Reply waiting(const QueueId&) const;
+
+    // Answers to orders.
+    void startAnswered(const WorkerLife&, const TaskKey&, RunNumber, StartAnswer, std::int64_t clockMs, TimePoint now);
+    void stopAnswered(const WorkerLife&, const TaskKey&, RunNumber, StopAnswer, TimePoint now);
+    void lookAnswered(const WorkerLife&, const LookAnswer&, TimePoint now);
+    void journalAnswered(JournalAnswer, Revision head, TimePoint now);
+    void headRead(Revision head, std::uint64_t number, TimePoint now);
+    void instanceAnswered(const std::string& instance, InstanceAnswer, TimePoint now);
+
+    // Does what is due. The wall clock is in Unix milliseconds.
+    void tick(TimePoint now, std::int64_t wallMs);
+    // When tick() is due next, at the latest.
+    TimePoint nextTick() const { return m_nextTick; }
+
+    std::vector<Order> takeOrders() { return std::exchange(m_orders, {}); }
+
+    // Another coordinator has taken over; this one must not order any more.
+    bool isDeposed() const { return m_isDeposed || m_journal.hasLost(); }
+
+    const JobBook& jobs() const { return m_jobs; }
+    const WorkerBook& workers() const { return m_workers; }
+    const Term& term() const { return m_term; }
+
+private:
+    struct PendingReply {
+        CallToken token {};
+        std::uint64_t version { 0 };
+        Reply reply;
+    };
+    struct StoredMark {
+        JobId job;
+        std::uint64_t version { 0 };
+        JobState state { JobState::Pending };
+    };
+
+    void log(const std::string& subject, const std::string& id, const std::string& text) const;
+    const JobQueue& queueOf(const JobSpec&) const;
+
+    // Jobs and the journal.
+    void flushJobs(TimePoint now);
+    void sendJournal(TimePoint now);
+    void batchStored(const JournalBatch&, TimePoint now);
+    void releaseReplies(const JobId&);
+    void forgetOldJobs(TimePoint now);
+
+    // Runs.
+    bool isUsable(const Worker&, TimePoint now) const;
+    bool isAccountedFor(const Job&, TimePoint now) const;
+    void placeTasks(TimePoint now);
+    void orderStart(const PlannedStart&, TimePoint now);
+    void orderStop(const WorkerId&, const TaskKey&, RunNumber, TimePoint now);
+    void stopRunsOf(const Job&, TimePoint now);
+    void runOver(const WorkerId&, const TaskKey&, RunNumber, RunEnd, const std::string& checkpoint, TimePoint now);
+    void runsLost(const WorkerId&, const std::map<TaskKey, RunNumber>&, TimePoint now);
+    void stopLoneGangs(TimePoint now);
+
+    // Workers.
+    void takeEnds(Worker&, const std::vector<ListedEnd>&, TimePoint now);
+    void takeRunning(Worker&, const LookAnswer&, TimePoint now);
+    void takeRun(Worker&, const ListedRun&, TimePoint now);
+    void dropForgotten(Worker&, const LookAnswer&, TimePoint now);
+    void advanceAcknowledged(Worker&) const;
+    void lookAtWorkers(TimePoint now);
+    void dropLapsed(TimePoint now);
+    void paceFillers(Worker&, TimePoint now);
+
+    // Instances.
+    void runWaves(TimePoint now);
+    WaveLoad waveLoad(const std::string& instance, TimePoint now) const;
+    int awayTasks(const Job&, const Occurrence&, int step, TimePoint now) const;
+
+    CoordinatorSettings m_settings;
+    Term m_term;
+    Journal m_journal;
+    TimePoint m_startedAt;
+    DecisionLog m_log;
+    OperatorState m_operators;
+    JobBook m_jobs;
+    WorkerBook m_workers;
+    TeamUse m_use;
+    std::map<JobId, std::vector<PendingReply>> m_replies;
+    std::map<std::string, StoredMark> m_waitingMarks; // by record key
+    std::map<std::string, StoredMark> m_batchMarks; // of the batch under way
+    std::set<JobId> m_unwritten; // accepted, and the record not given to the journal yet
+    std::map<std::pair<WorkerId, TaskKey>, TimePoint> m_stopRetries; // next time to send the stop again
+    std::map<std::pair<WorkerId, TaskKey>, TimePoint> m_confirmedAt; // the worker surely knew the run from then on
+    std::map<WorkerId, TimePoint> m_nextPace;
+
+    std::map<std::string, FleetInstance> m_instances;
+    WavePlan m_waves;
+    TimePoint m_nextList;
+    bool m_isListing { false };
+    std::set<std::string> m_maintenanceUnderWay; // calls without an answer yet
+
+    TimePoint m_nextFlush;
+    TimePoint m_nextWaveStep;
+    TimePoint m_nextForget;
+    TimePoint m_nextTick;
+    bool m_isRestored { false };
+    bool m_mustPlace { true };
+    bool m_isDeposed { false };
+    std::vector<Order> m_orders;
+};
+
+// Keys of a coordinator's records.
+namespace records {
+    inline const std::string jobPrefix = "marigold/job/";
+    inline const std::string progressPrefix = "marigold/progress/";
+    inline const std::string wavePrefix = "marigold/wave/";
+    inline std::string job(const JobId& id) { return jobPrefix + id.value(); }
+    inline std::string progress(const JobId& id) { return progressPrefix + id.value(); }
+    inline std::string wave(const WaveId& id) { return wavePrefix + id.value(); }
+} // namespace records
+
+} // namespace marigoldlink
--- /dev/null
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -0,0 +1,317 @@
+// Runs a coordinator on the event loop: loads its state, follows the workers' registry, carries out its orders.
+#pragma once
+
+#include "marigoldlink/Entry/Coordinator.h"
+#include "marigoldlink/Entry/Election.h"
+#include "marigoldlink/Protocol/JobCodec.h"
+
+#include <chrono>
+#include <memory>
+
+namespace marigoldlink {
+
+inline std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+template <FleetPlatform Platform>
+class CoordinatorRunner : public std::enable_shared_from_this<CoordinatorRunner<Platform>> {
+public:
+    using OnReply = std::function<void(CallToken, const Reply&)>;
+    using OnDeposed = std::function<void()>;
+
+    CoordinatorRunner(EventLoop& loop, Platform& platform, CoordinatorSettings settings, const Ownership& ownership,
+        Coordinator::DecisionLog log, OnReply onReply, OnDeposed onDeposed)
+        : m_loop(loop)
+        , m_platform(platform)
+        , m_ownership(ownership)
+        , m_coordinator(std::move(settings), { fence(), ownership.term }, Journal(ownership.headRevision), loop.now(),
+              std::move(log))
+        , m_onReply(std::move(onReply))
+        , m_onDeposed(std::move(onDeposed))
+        , m_workers(std::make_shared<StoreFollower<Platform>>(loop, platform, platform.workerPrefix(),
+              FollowerLimits {}, [this](const std::set<std::string>& changed) { workersChanged(changed); }))
+    {
+    }
+
+    void start(const OperatorState& operators)
+    {
+        m_coordinator.setOperators(operators, m_loop.now());
+        m_workers->start();
+        load(records::jobPrefix, [this](std::vector<StoredValue> jobs) {
+            load(records::progressPrefix, [this, jobs = std::move(jobs)](std::vector<StoredValue> progress) {
+                load(records::wavePrefix, [this, jobs, progress = std::move(progress)](
+                                              std::vector<StoredValue> waves) { loaded(jobs, progress, waves); });
+            });
+        });
+    }
+
+    // Ends the work; answers that are under way are dropped.
+    void stop()
+    {
+        m_isStopped = true;
+        m_workers->stop();
+        if (m_timer)
+            m_loop.cancel(*m_timer);
+    }
+
+    bool isReady() const { return m_isReady && !m_isStopped; }
+    Coordinator& coordinator() { return m_coordinator; }
+
+    // Runs the coordinator after calls of it, and its orders.
+    void pump()
+    {
+        if (m_isStopped || m_isPumping)
+            return;
+        m_isPumping = true;
+        // One turn gathers the events of several sockets.
+        m_loop.post([this, self = this->shared_from_this()] {
+            m_isPumping = false;
+            run();
+        });
+    }
+
+private:
+    std::uint64_t fence() const { return static_cast<std::uint64_t>(m_ownership.ownerRevision); }
+
+    void load(const std::string& prefix, std::function<void(std::vector<StoredValue>)> onLoaded)
+    {
+        m_platform.range(prefix, [this, self = this->shared_from_this(), prefix, onLoaded](RangeResult result) {
+            if (m_isStopped)
+                return;
+            if (result.status == StoreStatus::Ok) {
+                onLoaded(std::move(result.values));
+                return;
+            }
+            m_loop.after(Duration(s_loadRetryMs), [this, self, prefix, onLoaded] { load(prefix, onLoaded); });
+        });
+    }
+
+    void loaded(const std::vector<StoredValue>& jobs, const std::vector<StoredValue>& progress,
+        const std::vector<StoredValue>& waves)
+    {
+        const auto now = m_loop.now();
+        std::map<JobId, JobProgress> progressOf;
+        for (const auto& value : progress) {
+            const JobId id(value.key.substr(records::progressPrefix.size()));
+            decode(value, [&] { progressOf[id] = decodeProgress(id, value.value); });
+        }
+        for (const auto& value : jobs) {
+            const JobId id(value.key.substr(records::jobPrefix.size()));
+            decode(value, [&] { m_coordinator.restoreJob(decodeJob(id, value.value), progressOf[id], now); });
+        }
+        for (const auto& value : waves) {
+            decode(value, [&] {
+                m_coordinator.restoreWave(
+                    WaveId(value.key.substr(records::wavePrefix.size())), decodeWave(value.value));
+            });
+        }
+        m_isLoaded = true;
+        pump();
+        awaitWorkers();
+    }
+
+    template <typename Decoder> void decode(const StoredValue& value, Decoder decoder)
+    {
+        try {
+            decoder();
+        } catch (const Error& error) {
+            s_log.error("A record is left out.", { { "key", value.key }, { "reason", error.what() } });
+        }
+    }
+
+    // The first look at each worker has to be answered, or to fail, before anything is started.
+    void awaitWorkers()
+    {
+        if (m_isStopped)
+            return;
+        const auto now = m_loop.now();
+        const auto& workers = m_coordinator.workers().workers();
+        const bool isSettled = m_workers->isLoaded()
+            && std::all_of(workers.begin(), workers.end(), [](const auto& entry) {
+                   return entry.second.isFenced || (!entry.second.isLookUnderWay && entry.second.lookSentAt != TimePoint());
+               });
+        if (!isSettled) {
+            m_loop.after(Duration(s_settlePollMs), [this, self = this->shared_from_this()] { awaitWorkers(); });
+            return;
+        }
+        m_isReady = true;
+        m_coordinator.restored(now);
+        pump();
+    }
+
+    void workersChanged(const std::set<std::string>& changed)
+    {
+        const auto now = m_loop.now();
+        for (const auto& key : changed) {
+            const auto found = m_workers->values().find(key);
+            if (found == m_workers->values().end()) {
+                m_coordinator.workerEntryRemoved(m_platform.workerId(key), now);
+                continue;
+            }
+            if (const auto entry = m_platform.decodeWorker(found->second))
+                m_coordinator.workerEntry(*entry, now);
+            else
+                m_coordinator.workerEntryRemoved(m_platform.workerId(key), now);
+        }
+        pump();
+    }
+
+    void run()
+    {
+        if (m_isStopped)
+            return;
+        const auto now = m_loop.now();
+        // The workers are looked at while the records load; everything else waits for them.
+        if (m_coordinator.nextTick() <= now && m_isLoaded)
+            m_coordinator.tick(now, unixMilliseconds());
+        for (auto& order : m_coordinator.takeOrders())
+            std::visit([this](auto& typed) { carryOut(typed); }, order);
+        if (m_coordinator.isDeposed()) {
+            stop();
+            m_onDeposed();
+            return;
+        }
+        if (m_timer)
+            m_loop.cancel(*m_timer);
+        const auto delay = std::max(Duration(1), m_coordinator.nextTick() - now);
+        m_timer = m_loop.after(delay, [this, self = this->shared_from_this()] {
+            m_timer.reset();
+            run();
+        });
+    }
+
+    // Calls the coordinator with an answer, unless the work has ended meanwhile.
+    template <typename Answer> auto answered(Answer answer)
+    {
+        return [this, self = this->shared_from_this(), answer](auto&&... values) {
+            if (m_isStopped)
+                return;
+            answer(std::forward<decltype(values)>(values)...);
+            pump();
+        };
+    }
+
+    void carryOut(const StartOrder& order)
+    {
+        m_platform.start(order, fence(), answered([this, life = order.worker, task = order.task, run = order.run](
+                                                      StartAnswer answer, std::int64_t clockMs) {
+            m_coordinator.startAnswered(life, task, run, answer, clockMs, m_loop.now());
+        }));
+    }
+
+    void carryOut(const StopOrder& order)
+    {
+        m_platform.stop(order, fence(),
+            answered([this, life = order.worker, task = order.task, run = order.run](StopAnswer answer) {
+                m_coordinator.stopAnswered(life, task, run, answer, m_loop.now());
+            }));
+    }
+
+    void carryOut(const PaceOrder& order) { m_platform.pace(order, fence()); }
+
+    void carryOut(const LookOrder& order)
+    {
+        m_platform.look(order, fence(), answered([this, life = order.worker](const LookAnswer& answer) {
+            m_coordinator.lookAnswered(life, answer, m_loop.now());
+        }));
+    }
+
+    void carryOut(const JournalOrder& order)
+    {
+        StoreWrite call;
+        call.expected = { { records::owner, m_ownership.ownerRevision }, { records::head, order.batch.expectedHead } };
+        call.puts.push_back(
+            { records::head, JournalHead { m_ownership.term, order.batch.number }.text(), StoreLease::None });
+        for (const auto& [key, value] : order.batch.puts)
+            call.puts.push_back({ key, value, StoreLease::None });
+        call.removals = order.batch.removals;
+        m_platform.write(call, answered([this](const StoreWriteResult& result) {
+            m_coordinator.journalAnswered(journalAnswer(result.status), result.revision, m_loop.now());
+        }));
+    }
+
+    static JournalAnswer journalAnswer(StoreWriteStatus status)
+    {
+        switch (status) {
+        case StoreWriteStatus::Done:
+            return JournalAnswer::Stored;
+        case StoreWriteStatus::Refused:
+            return JournalAnswer::Refused;
+        case StoreWriteStatus::Unknown:
+            return JournalAnswer::Unknown;
+        case StoreWriteStatus::Conflict:
+        case StoreWriteStatus::LeaseEnded:
+            return JournalAnswer::Conflict;
+        }
+        return JournalAnswer::Unknown;
+    }
+
+    void carryOut(const ReadHeadOrder&)
+    {
+        m_platform.range(records::head, answered([this](const RangeResult& result) {
+            if (result.status != StoreStatus::Ok) {
+                m_loop.after(Duration(s_loadRetryMs),
+                    [this, self = this->shared_from_this()] { carryOut(ReadHeadOrder {}); });
+                return;
+            }
+            Revision revision { noRevision };
+            JournalHead head;
+            for (const auto& value : result.values) {
+                if (value.key != records::head)
+                    continue;
+                revision = value.revision;
+                head = JournalHead::parse(value.value);
+            }
+            const auto number = head.term == m_ownership.term ? head.number : 0;
+            m_coordinator.headRead(revision, number, m_loop.now());
+        }));
+    }
+
+    void carryOut(const ListInstancesOrder&)
+    {
+        m_platform.listInstances(answered([this](std::optional<std::vector<FleetInstance>> instances) {
+            m_coordinator.instancesListed(
+                instances ? std::move(*instances) : std::vector<FleetInstance> {}, m_loop.now());
+        }));
+    }
+
+    void carryOut(const MoveOrder& order)
+    {
+        m_platform.move(order, fence(), answered([this, instance = order.instance](InstanceAnswer answer) {
+            m_coordinator.instanceAnswered(instance, answer, m_loop.now());
+        }));
+    }
+
+    void carryOut(const MaintainOrder& order)
+    {
+        m_platform.maintain(order, fence(), answered([this, instance = order.instance](InstanceAnswer answer) {
+            m_coordinator.instanceAnswered(instance, answer, m_loop.now());
+        }));
+    }
+
+    void carryOut(const AdviceOrder&) { }
+
+    void carryOut(const ReplyOrder& order) { m_onReply(order.token, order.reply); }
+
+    static constexpr Log s_log { "coordinator" };
+    static constexpr int s_loadRetryMs = 100;
+    static constexpr int s_settlePollMs = 5;
+
+    EventLoop& m_loop;
+    Platform& m_platform;
+    Ownership m_ownership;
+    Coordinator m_coordinator;
+    OnReply m_onReply;
+    OnDeposed m_onDeposed;
+    std::shared_ptr<StoreFollower<Platform>> m_workers;
+    std::optional<EventLoop::Timer> m_timer;
+    bool m_isLoaded { false };
+    bool m_isReady { false };
+    bool m_isPumping { false };
+    bool m_isStopped { false };
+};
+
+} // namespace marigoldlink
--- /dev/null
+++ b/include/marigoldlink/Entry/Election.h
@@ -0,0 +1,225 @@
+// Election of the coordinator: one key under a lease, taken by whoever writes it first while it does not exist.
+#pragma once
+
+#include "marigoldlink/Entry/StoreFollower.h"
+
+namespace marigoldlink {
+
+namespace records {
+    inline const std::string owner = "marigold/owner";
+    inline const std::string head = "marigold/head";
+} // namespace records
+
+// The head of the journal: the term and the number of the last write in it.
+struct JournalHead {
+    std::uint64_t term { 0 };
+    std::uint64_t number { 0 };
+
+    std::string text() const { return std::to_string(term) + ':' + std::to_string(number); }
+    // A head that does not parse counts as the first one.
+    static JournalHead parse(const std::string& text)
+    {
+        JournalHead head;
+        const auto colon = text.find(':');
+        if (colon == std::string::npos)
+            return head;
+        head.term = std::strtoull(text.c_str(), nullptr, 10);
+        head.number = std::strtoull(text.c_str() + colon + 1, nullptr, 10);
+        return head;
+    }
+};
+
+struct ElectionLimits {
+    Duration ttl { 1200 }; // of the owner's lease; bounds how long a dead owner is missed
+    Duration renewal { 350 }; // three tries within a lease
+    Duration retryDelay { 150 };
+};
+
+// What a new owner holds.
+struct Ownership {
+    StoreLease lease { StoreLease::None };
+    Revision ownerRevision { noRevision }; // also the fence
+    Revision headRevision { noRevision };
+    std::uint64_t term { 0 };
+};
+
+template <FleetPlatform Platform> class Election {
+public:
+    using OnElected = std::function<void(const Ownership&)>;
+    using OnLost = std::function<void()>;
+    using OnOwner = std::function<void()>; // another owner, or none, is known
+
+    Election(EventLoop& loop, Platform& platform, Endpoint self, ElectionLimits limits, OnElected onElected,
+        OnLost onLost, OnOwner onOwner)
+        : m_loop(loop)
+        , m_platform(platform)
+        , m_self(std::move(self))
+        , m_limits(limits)
+        , m_onElected(std::move(onElected))
+        , m_onLost(std::move(onLost))
+        , m_onOwner(std::move(onOwner))
+        , m_follower(loop, platform, records::owner, {}, [this](const auto&) { ownerChanged(); })
+    {
+    }
+
+    void start() { m_follower.start(); }
+
+    // The endpoint of the owner that is known, or nothing.
+    std::optional<Endpoint> owner() const { return m_owner; }
+    bool isOwner() const { return m_ownership.has_value(); }
+    // True while no other process can have been elected, by the time of the last renewal that was answered.
+    bool isLeaseSure() const { return m_ownership && m_loop.now() < m_renewedAt + m_limits.ttl; }
+    TimePoint renewedAt() const { return m_renewedAt; }
+
+    // Gives the ownership up at once, or stops standing for it.
+    void retire()
+    {
+        m_isRetired = true;
+        resign();
+    }
+
+    // Another coordinator was seen.
+    void resign()
+    {
+        if (!m_ownership)
+            return;
+        m_platform.endLease(m_ownership->lease);
+        lose();
+    }
+
+private:
+    void ownerChanged()
+    {
+        const auto& values = m_follower.values();
+        const auto found = values.find(records::owner);
+        m_owner.reset();
+        if (found != values.end()) {
+            try {
+                m_owner = Endpoint::parse(found->second.value);
+            } catch (const Error& error) {
+                s_log.error("The owner's record does not parse.", { { "reason", error.what() } });
+            }
+        }
+        if (m_ownership && found != values.end() && found->second.revision > m_ownership->ownerRevision)
+            lose();
+        m_onOwner();
+        if (found == values.end() && !m_ownership)
+            stand();
+    }
+
+    void stand()
+    {
+        if (m_isRetired || m_isStanding)
+            return;
+        m_isStanding = true;
+        m_renewedAt = m_loop.now();
+        m_platform.openLease(m_limits.ttl, [this](const StoreLeaseResult& result) {
+            if (result.status != LeaseStatus::Valid) {
+                standAgainLater();
+                return;
+            }
+            m_platform.range(records::head, [this, lease = result.lease](const RangeResult& head) {
+                if (head.status != StoreStatus::Ok) {
+                    m_platform.endLease(lease);
+                    standAgainLater();
+                    return;
+                }
+                write(lease, head);
+            });
+        });
+    }
+
+    void write(StoreLease lease, const RangeResult& head)
+    {
+        Ownership ownership;
+        ownership.lease = lease;
+        Revision headRevision { noRevision };
+        JournalHead last;
+        for (const auto& value : head.values) {
+            if (value.key != records::head)
+                continue;
+            headRevision = value.revision;
+            last = JournalHead::parse(value.value);
+        }
+        ownership.term = last.term + 1;
+        StoreWrite call;
+        call.expected = { { records::owner, noRevision }, { records::head, headRevision } };
+        call.puts = { { records::owner, m_self.text(), lease },
+            { records::head, JournalHead { ownership.term, 0 }.text(), StoreLease::None } };
+        m_platform.write(call, [this, ownership](const StoreWriteResult& result) mutable {
+            if (result.status != StoreWriteStatus::Done || m_isRetired) {
+                m_platform.endLease(ownership.lease);
+                standAgainLater();
+                return;
+            }
+            m_isStanding = false;
+            ownership.ownerRevision = result.revision;
+            ownership.headRevision = result.revision;
+            m_ownership = ownership;
+            m_owner = m_self;
+            s_log.info("Elected.", { { "term", std::to_string(ownership.term) },
+                { "fence", std::to_string(static_cast<std::uint64_t>(result.revision)) } });
+            renewLater();
+            m_onElected(ownership);
+        });
+    }
+
+    void standAgainLater()
+    {
+        m_loop.after(m_limits.retryDelay, [this] {
+            m_isStanding = false;
+            if (m_follower.isLoaded() && !m_follower.values().contains(records::owner) && !m_ownership)
+                stand();
+        });
+    }
+
+    void renewLater()
+    {
+        m_loop.after(m_limits.renewal, [this, lease = m_ownership->lease] {
+            if (!m_ownership || m_ownership->lease != lease)
+                return;
+            const auto sentAt = m_loop.now();
+            m_platform.renewLease(lease, [this, lease, sentAt](const StoreLeaseResult& result) {
+                if (!m_ownership || m_ownership->lease != lease)
+                    return;
+                if (result.status == LeaseStatus::Ended) {
+                    s_log.warning("The owner's lease has ended.");
+                    lose();
+                    return;
+                }
+                if (result.status == LeaseStatus::Valid)
+                    m_renewedAt = sentAt;
+                renewLater();
+            });
+        });
+    }
+
+    void lose()
+    {
+        m_ownership.reset();
+        m_owner.reset();
+        s_log.warning("No longer the owner.");
+        m_onLost();
+        m_onOwner();
+        if (!m_follower.values().contains(records::owner))
+            standAgainLater();
+    }
+
+    static constexpr Log s_log { "election" };
+
+    EventLoop& m_loop;
+    Platform& m_platform;
+    Endpoint m_self;
+    ElectionLimits m_limits;
+    OnElected m_onElected;
+    OnLost m_onLost;
+    OnOwner m_onOwner;
+    StoreFollower<Platform> m_follower;
+    std::optional<Endpoint> m_owner;
+    std::optional<Ownership> m_ownership;
+    TimePoint m_renewedAt;
+    bool m_isStanding { false };
+    bool m_isRetired { false };
+};
+
+} // namespace marigoldlink
--- /dev/null
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -0,0 +1,312 @@
+// One entry instance: follows what operators ask for, stands for election, and takes callers' calls to the coordinator,
+// wherever it runs.
+#pragma once
+
+#include "marigoldlink/Entry/CoordinatorRunner.h"
+#include "marigoldlink/Entry/PeerCalls.h"
+#include "marigoldlink/Transport/HttpClient.h"
+#include "marigoldlink/Transport/HttpServer.h"
+
+#include <map>
+#include <memory>
+
+namespace marigoldlink {
+
+struct NodeSettings {
+    Endpoint peers; // where other entry instances call this one
+    CoordinatorSettings coordinator;
+    Duration peerTimeout { 1000 }; // one try to reach the coordinator
+    Duration longestWait { 2000 }; // for a coordinator, when none is known
+};
+
+// How a call ended for the gateway.
+struct CallResult {
+    enum class Kind {
+        Answered, // the coordinator's reply holds
+        NotReached, // surely nothing was done
+        Unknown, // the call may have been carried out
+    };
+
+    Kind kind { Kind::NotReached };
+    Reply reply;
+};
+
+using CallCallback = std::function<void(const CallResult&)>;
+
+template <FleetPlatform Platform> class FleetNode {
+public:
+    FleetNode(EventLoop& loop, Platform& platform, NodeSettings settings, Coordinator::DecisionLog log)
+        : m_loop(loop)
+        , m_platform(platform)
+        , m_settings(std::move(settings))
+        , m_log(std::move(log))
+        , m_client(loop)
+        , m_server(loop, {}, [this](const HttpRequest& request, HttpResponderPtr responder) {
+            servePeer(request, std::move(responder));
+        })
+        , m_operatorFollower(loop, platform, platform.operatorPrefix(), {}, [this](const auto&) { operatorsChanged(); })
+        , m_election(
+              loop, platform, m_settings.peers, {}, [this](const Ownership& ownership) { elected(ownership); },
+              [this] { dismissed(); }, [this] { retryCalls(); })
+    {
+    }
+
+    void start()
+    {
+        m_server.listen(m_settings.peers);
+        m_operatorFollower.start();
+        m_election.start();
+    }
+
+    // Hands the coordinator's part to another instance. Calls of callers still go on.
+    void retire() { m_election.retire(); }
+
+    const OperatorState& operators() const { return m_operators; }
+    bool isReady() const { return m_operators.hasConfig(); }
+
+    // Brings the call to the coordinator, and calls back once, before the time is over.
+    void call(FleetCallRequest request, Duration time, CallCallback callback)
+    {
+        const auto id = m_nextCall++;
+        auto& pending = m_calls[id];
+        pending.request = std::move(request);
+        pending.callback = std::move(callback);
+        pending.deadline = m_loop.now() + std::min(time, m_settings.longestWait);
+        pending.timer = m_loop.after(std::min(time, m_settings.longestWait), [this, id] { expire(id); });
+        tryCall(id);
+    }
+
+private:
+    struct PendingCall {
+        FleetCallRequest request;
+        CallCallback callback;
+        TimePoint deadline;
+        EventLoop::Timer timer;
+        bool isUnderWay { false };
+        bool mayBeDone { false }; // some try had no answer
+    };
+
+    void operatorsChanged()
+    {
+        std::vector<StoredValue> values;
+        for (const auto& [key, value] : m_operatorFollower.values())
+            values.push_back(value);
+        auto operators = m_platform.decodeOperators(values);
+        if (operators.config.version < m_operators.config.version)
+            operators.config = m_operators.config;
+        const bool isNewVersion = operators.config.version != m_operators.config.version;
+        m_operators = std::move(operators);
+        if (isNewVersion)
+            s_log.info("Configuration in force.", { { "version", std::to_string(m_operators.config.version) } });
+        if (m_runner) {
+            m_runner->coordinator().setOperators(m_operators, m_loop.now());
+            m_runner->pump();
+        } else if (m_waitingOwnership && m_operators.hasConfig()) {
+            elected(*m_waitingOwnership);
+        }
+    }
+
+    void elected(const Ownership& ownership)
+    {
+        if (!m_operators.hasConfig()) {
+            m_waitingOwnership = ownership;
+            return;
+        }
+        m_waitingOwnership.reset();
+        m_runner = std::make_shared<CoordinatorRunner<Platform>>(
+            m_loop, m_platform, m_settings.coordinator, ownership, m_log,
+            [this](CallToken token, const Reply& reply) { replied(token, reply); },
+            [this] { m_election.resign(); });
+        m_runner->start(m_operators);
+        awaitRunner();
+    }
+
+    void awaitRunner()
+    {
+        if (!m_runner)
+            return;
+        if (m_runner->isReady()) {
+            retryCalls();
+            return;
+        }
+        m_loop.after(Duration(s_readyPollMs), [this] { awaitRunner(); });
+    }
+
+    void dismissed()
+    {
+        m_waitingOwnership.reset();
+        if (!m_runner)
+            return;
+        m_runner->stop();
+        // Calls of it to the outside may still be answered; they hold on to it until they have timed out.
+        m_loop.after(Duration(s_runnerKeptMs), [runner = std::move(m_runner)] { });
+        m_runner.reset();
+        for (auto& [token, waiting] : std::exchange(m_tokens, {}))
+            waiting({ Reply::Kind::NotCoordinator, {}, 0, {} }, true);
+    }
+
+    // Calls of callers, here or at the owner.
+
+    void tryCall(std::uint64_t id)
+    {
+        const auto found = m_calls.find(id);
+        if (found == m_calls.end() || found->second.isUnderWay)
+            return;
+        auto& pending = found->second;
+        if (m_runner) {
+            if (!m_runner->isReady())
+                return;
+            pending.isUnderWay = true;
+            serveCall(pending.request,
+                [this, id](const Reply& reply, bool mayBeDone) { tryEnded(id, reply, mayBeDone); });
+            return;
+        }
+        const auto owner = m_election.owner();
+        if (!owner || *owner == m_settings.peers)
+            return;
+        pending.isUnderWay = true;
+        HttpCall http;
+        http.method = "POST";
+        http.target = s_callPath;
+        http.body = encodeCall(pending.request);
+        http.timeout = m_settings.peerTimeout;
+        m_client.send(*owner, std::move(http), [this, id](const HttpOutcome& outcome) {
+            Reply reply;
+            if (outcome.isOk()) {
+                try {
+                    reply = decodeReply(outcome.body);
+                } catch (const Error& error) {
+                    s_log.error("A peer's reply does not parse.", { { "reason", error.what() } });
+                }
+            }
+            tryEnded(id, reply, outcome.kind == HttpOutcome::Kind::Lost || outcome.status == s_statusUnknown);
+        });
+    }
+
+    void tryEnded(std::uint64_t id, const Reply& reply, bool mayBeDone)
+    {
+        const auto found = m_calls.find(id);
+        if (found == m_calls.end())
+            return;
+        found->second.isUnderWay = false;
+        found->second.mayBeDone |= mayBeDone;
+        if (reply.kind != Reply::Kind::NotCoordinator) {
+            finish(id, { CallResult::Kind::Answered, reply });
+            return;
+        }
+        m_loop.after(Duration(s_retryMs), [this, id] { tryCall(id); });
+    }
+
+    void retryCalls()
+    {
+        std::vector<std::uint64_t> ids;
+        for (const auto& [id, pending] : m_calls)
+            ids.push_back(id);
+        for (const auto id : ids)
+            tryCall(id);
+    }
+
+    void expire(std::uint64_t id)
+    {
+        const auto& pending = m_calls.at(id);
+        const bool mayBeDone = pending.mayBeDone || pending.isUnderWay;
+        finish(id, { mayBeDone ? CallResult::Kind::Unknown : CallResult::Kind::NotReached, {} });
+    }
+
+    void finish(std::uint64_t id, const CallResult& result)
+    {
+        auto pending = m_calls.extract(id);
+        m_loop.cancel(pending.mapped().timer);
+        pending.mapped().callback(result);
+    }
+
+    // The coordinator's side.
+
+    using Served = std::function<void(const Reply&, bool mayBeDone)>;
+
+    void serveCall(const FleetCallRequest& request, Served served)
+    {
+        if (!m_runner || !m_runner->isReady()) {
+            served({ Reply::Kind::NotCoordinator, {}, 0, {} }, false);
+            return;
+        }
+        auto& coordinator = m_runner->coordinator();
+        const auto now = m_loop.now();
+        switch (request.kind) {
+        case FleetCallRequest::Kind::Look:
+        case FleetCallRequest::Kind::Waiting: {
+            // Another coordinator may have accepted more since; only a sure lease allows a negative answer.
+            auto reply = request.kind == FleetCallRequest::Kind::Look ? coordinator.look(request.job.id)
+                                                                      : coordinator.waiting(request.job.queue);
+            if (!m_election.isLeaseSure() && reply.kind != Reply::Kind::State)
+                reply = { Reply::Kind::NotCoordinator, {}, 0, {} };
+            served(reply, false);
+            return;
+        }
+        case FleetCallRequest::Kind::Submit:
+        case FleetCallRequest::Kind::Cancel: {
+            const auto token = CallToken(m_nextToken++);
+            m_tokens.emplace(token, std::move(served));
+            if (request.kind == FleetCallRequest::Kind::Submit)
+                coordinator.submit(token, request.job, now);
+            else
+                coordinator.cancel(token, request.job.id, now);
+            m_runner->pump();
+            return;
+        }
+        }
+    }
+
+    void replied(CallToken token, const Reply& reply)
+    {
+        const auto waiting = m_tokens.extract(token);
+        if (waiting)
+            waiting.mapped()(reply, false);
+    }
+
+    void servePeer(const HttpRequest& request, HttpResponderPtr responder)
+    {
+        if (request.path != s_callPath) {
+            responder->send({ s_statusNotFound, "", "text/plain", {} });
+            return;
+        }
+        try {
+            const auto call = decodeCall(std::string(request.body));
+            serveCall(call, [responder](const Reply& reply, bool mayBeDone) {
+                responder->send({ mayBeDone ? s_statusUnknown : s_statusOk, encodeReply(reply), s_callType, {} });
+            });
+        } catch (const Error& error) {
+            s_log.error("A peer's call does not parse.", { { "reason", error.what() } });
+            responder->send({ s_statusMalformed, "", "text/plain", {} });
+        }
+    }
+
+    static constexpr Log s_log { "node" };
+    static constexpr const char* s_callPath = "/v1/fleet/call";
+    static constexpr const char* s_callType = "application/x-thrift";
+    static constexpr int s_statusOk = 200;
+    static constexpr int s_statusMalformed = 400;
+    static constexpr int s_statusNotFound = 404;
+    static constexpr int s_statusUnknown = 504; // the call may have been carried out
+    static constexpr int s_retryMs = 40;
+    static constexpr int s_readyPollMs = 5;
+    static constexpr int s_runnerKeptMs = 60000;
+
+    EventLoop& m_loop;
+    Platform& m_platform;
+    NodeSettings m_settings;
+    Coordinator::DecisionLog m_log;
+    HttpClient m_client;
+    HttpServer m_server;
+    StoreFollower<Platform> m_operatorFollower;
+    Election<Platform> m_election;
+    OperatorState m_operators;
+    std::shared_ptr<CoordinatorRunner<Platform>> m_runner;
+    std::optional<Ownership> m_waitingOwnership;
+    std::map<std::uint64_t, PendingCall> m_calls;
+    std::uint64_t m_nextCall { 1 };
+    std::map<CallToken, Served> m_tokens;
+    std::uint64_t m_nextToken { 1 };
+};
+
+} // namespace marigoldlink
--- /dev/null
+++ b/include/marigoldlink/Entry/FleetPlatform.h
@@ -0,0 +1,104 @@
+// What an entry instance needs from the platform, as one concept. The adapter in platform/ is one model of it, the
+// emulator of the tests another.
+#pragma once
+
+#include "marigoldlink/Entry/Orders.h"
+#include "marigoldlink/Protocol/Adapters.h"
+
+#include <concepts>
+#include <functional>
+#include <optional>
+
+namespace marigoldlink {
+
+// A lease of the key-value service. Its keys are removed when it ends.
+enum class StoreLease : std::uint64_t { None = 0 };
+
+struct StorePut {
+    std::string key;
+    std::string value;
+    StoreLease lease { StoreLease::None };
+};
+
+// One write, all or nothing.
+struct StoreWrite {
+    std::vector<std::pair<std::string, Revision>> expected; // noRevision: the key does not exist
+    std::vector<StorePut> puts;
+    std::vector<std::string> removals;
+};
+
+enum class StoreWriteStatus {
+    Done,
+    Conflict, // some key has another revision; nothing was written
+    LeaseEnded,
+    Refused, // the service did not take the call; nothing was written
+    Unknown, // no answer; it may have taken effect or may do so later
+};
+
+struct StoreWriteResult {
+    StoreWriteStatus status { StoreWriteStatus::Unknown };
+    Revision revision { noRevision };
+};
+
+enum class LeaseStatus { Valid, Ended, Refused, Unknown };
+
+struct StoreLeaseResult {
+    LeaseStatus status { LeaseStatus::Unknown };
+    StoreLease lease { StoreLease::None };
+    Duration ttl { 0 };
+};
+
+using StoreWriteCallback = std::function<void(StoreWriteResult)>;
+using StoreLeaseCallback = std::function<void(StoreLeaseResult)>;
+using StartCallback = std::function<void(StartAnswer, std::int64_t clockMs)>;
+using StopOrderCallback = std::function<void(StopAnswer)>;
+using LookCallback = std::function<void(LookAnswer)>;
+using FleetListCallback = std::function<void(std::optional<std::vector<FleetInstance>>)>;
+using InstanceCallback = std::function<void(InstanceAnswer)>;
+
+template <typename T>
+concept FleetPlatform = requires(T platform, const std::string& text, Revision revision, Duration time,
+    const StoreWrite& write, StoreLease lease, const StoredValue& value, const std::vector<StoredValue>& values,
+    std::uint64_t fence, RangeCallback onRange, StoreWriteCallback onWrite, StoreLeaseCallback onLease,
+    const StartOrder& start, StartCallback onStart, const StopOrder& stop, StopOrderCallback onStop,
+    const LookOrder& look, LookCallback onLook, const PaceOrder& pace, FleetListCallback onList,
+    const MoveOrder& move, const MaintainOrder& maintain, InstanceCallback onInstance)
+{
+    // The key-value service.
+    platform.range(text, onRange);
+    platform.watch(text, revision, time, onRange);
+    platform.write(write, onWrite);
+    platform.openLease(time, onLease);
+    platform.renewLease(lease, onLease);
+    platform.endLease(lease);
+
+    // What others keep there.
+    {
+        platform.operatorPrefix()
+        } -> std::convertible_to<std::string>;
+    {
+        platform.workerPrefix()
+        } -> std::convertible_to<std::string>;
+    {
+        platform.decodeOperators(values)
+        } -> std::same_as<OperatorState>;
+    {
+        platform.decodeWorker(value)
+        } -> std::same_as<std::optional<WorkerEntry>>;
+    {
+        platform.workerId(text)
+        } -> std::same_as<WorkerId>;
+
+    // The workers.
+    platform.start(start, fence, onStart);
+    platform.stop(stop, fence, onStop);
+    platform.look(look, fence, onLook);
+    platform.pace(pace, fence);
+
+    // The instances.
+    platform.listInstances(onList);
+    platform.move(move, fence, onInstance);
+    platform.maintain(maintain, fence, onInstance);
+};
+
+} // namespace marigoldlink
--- /dev/null
+++ b/include/marigoldlink/Entry/StoreFollower.h
@@ -0,0 +1,145 @@
+// Follows all keys under a prefix of the key-value service: one read of the whole, then a chain of watches.
+#pragma once
+
+#include "marigoldlink/Entry/FleetPlatform.h"
+#include "marigoldlink/State/Errors.h"
+#include "marigoldlink/Support/Log.h"
+#include "marigoldlink/Transport/EventLoop.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace marigoldlink {
+
+struct FollowerLimits {
+    // A watch without events is answered after this time. Short, so that a connection that went silent is noticed.
+    Duration watchWait { 1500 };
+    // Wait before the next try while the service does not answer.
+    Duration retryDelay { 200 };
+};
+
+template <FleetPlatform Platform> class StoreFollower {
+public:
+    // Called with the keys that changed or went away.
+    using OnChange = std::function<void(const std::set<std::string>& changed)>;
+
+    StoreFollower(EventLoop& loop, Platform& platform, std::string prefix, FollowerLimits limits, OnChange onChange)
+        : m_loop(loop)
+        , m_platform(platform)
+        , m_prefix(std::move(prefix))
+        , m_limits(limits)
+        , m_onChange(std::move(onChange))
+    {
+    }
+
+    void start() { next(); }
+    // Ends the chain. The follower must outlive the call that is under way, so it is kept until the process ends.
+    void stop() { m_isStopped = true; }
+
+    // True once the whole was read.
+    bool isLoaded() const { return m_isLoaded; }
+    // Time of the last answer of the service.
+    TimePoint confirmedAt() const { return m_confirmedAt; }
+    const std::map<std::string, StoredValue>& values() const { return m_values; }
+    Revision revision() const { return m_revision; }
+
+private:
+    void next()
+    {
+        if (m_isStopped)
+            return;
+        const auto sentAt = m_loop.now();
+        if (m_revision == noRevision)
+            m_platform.range(m_prefix, [this, sentAt](RangeResult result) { take(std::move(result), true, sentAt); });
+        else
+            m_platform.watch(m_prefix, m_revision, m_limits.watchWait,
+                [this, sentAt](RangeResult result) { take(std::move(result), false, sentAt); });
+    }
+
+    void take(RangeResult result, bool isWhole, TimePoint sentAt)
+    {
+        if (m_isStopped)
+            return;
+        if (result.status == StoreStatus::Missing) {
+            // The history that the watch needs is gone.
+            s_log.warning("The history is gone. Reading all keys again.", { { "prefix", m_prefix } });
+            m_revision = noRevision;
+            next();
+            return;
+        }
+        if (result.status != StoreStatus::Ok) {
+            report(false);
+            m_loop.after(m_limits.retryDelay, [this] { next(); });
+            return;
+        }
+        report(true);
+        m_confirmedAt = sentAt;
+        const auto changed = isWhole ? replace(std::move(result.values)) : apply(std::move(result.values));
+        m_revision = result.revision;
+        const bool isFirst = !std::exchange(m_isLoaded, true);
+        if (!changed.empty() || isFirst)
+            m_onChange(changed);
+        next();
+    }
+
+    std::set<std::string> replace(std::vector<StoredValue> values)
+    {
+        std::set<std::string> changed;
+        std::map<std::string, StoredValue> whole;
+        for (auto& value : values) {
+            const auto key = value.key;
+            const auto known = m_values.find(key);
+            if (known == m_values.end() || known->second.revision != value.revision)
+                changed.insert(key);
+            whole.emplace(key, std::move(value));
+        }
+        for (const auto& [key, value] : m_values) {
+            if (!whole.contains(key))
+                changed.insert(key);
+        }
+        m_values = std::move(whole);
+        return changed;
+    }
+
+    std::set<std::string> apply(std::vector<StoredValue> values)
+    {
+        std::set<std::string> changed;
+        for (auto& value : values) {
+            changed.insert(value.key);
+            if (value.value.empty())
+                m_values.erase(value.key);
+            else
+                m_values.insert_or_assign(value.key, std::move(value));
+        }
+        return changed;
+    }
+
+    void report(bool isReached)
+    {
+        if (isReached == m_isReached)
+            return;
+        m_isReached = isReached;
+        if (isReached)
+            s_log.info("The key-value service answers again.", { { "prefix", m_prefix } });
+        else
+            s_log.warning("The key-value service does not answer.", { { "prefix", m_prefix } });
+    }
+
+    static constexpr Log s_log { "follower" };
+
+    EventLoop& m_loop;
+    Platform& m_platform;
+    std::string m_prefix;
+    FollowerLimits m_limits;
+    OnChange m_onChange;
+    std::map<std::string, StoredValue> m_values;
+    Revision m_revision { noRevision };
+    TimePoint m_confirmedAt;
+    bool m_isLoaded { false };
+    bool m_isReached { true };
+    bool m_isStopped { false };
+};
+
+} // namespace marigoldlink
--- /dev/null
+++ b/include/marigoldlink/Protocol/JobCodec.h
@@ -0,0 +1,25 @@
+// Records of jobs, their progress and maintenance waves, as JSON.
+#pragma once
+
+#include "marigoldlink/Coordination/JobBook.h"
+#include "marigoldlink/State/Jobs.h"
+
+#include <set>
+#include <string>
+
+namespace marigoldlink {
+
+std::string encodeJob(const JobSpec&);
+// Throws Error(Internal) when the record does not parse.
+JobSpec decodeJob(const JobId&, const std::string& record);
+
+std::string encodeProgress(const JobProgress&);
+JobProgress decodeProgress(const JobId&, const std::string& record);
+
+std::string encodeWave(const std::set<std::string>& finished);
+std::set<std::string> decodeWave(const std::string& record);
+
+// The state of a wave as operators read it.
+std::string encodeWaveStatus(bool isComplete);
+
+} // namespace marigoldlink
--- a/include/marigoldlink/Protocol/PeerCodec.h
+++ b/include/marigoldlink/Protocol/PeerCodec.h
@@ -5,7 +5,7 @@
 
 namespace marigoldlink {
 
-// Defined for the generated structs of idl/Peer.thrift.
+// Defined for the generated structs of idl/*.thrift.
 template <typename Message> std::string encodePeer(const Message&);
 
 // Returns false when the bytes are not one whole message.
--- a/include/marigoldlink/Support/Settings.h
+++ b/include/marigoldlink/Support/Settings.h
@@ -24,6 +24,9 @@
     std::string choice(std::string_view field, std::string fallback, const std::vector<std::string>& accepted);
     std::int64_t integer(std::string_view field, std::int64_t fallback, std::int64_t low, std::int64_t high);
 
+    // A number that may have a fraction.
+    double number(std::string_view field, double fallback, double low, double high);
+
     // Records a fault of a field that its reader found.
     void reject(std::string_view field, const std::string& accepted);
 
--- a/include/marigoldlink/Transport/EventLoop.h
+++ b/include/marigoldlink/Transport/EventLoop.h
@@ -45,6 +45,8 @@
 
     // Calls the callback on the loop when SIGTERM or SIGINT arrives.
     void onTerminate(Callback);
+    // Calls the callback on the loop when SIGHUP arrives.
+    void onReload(Callback);
 
     st_h2o_evloop_t* native() { return m_native; }
 
@@ -53,12 +55,14 @@
     void runDueTimers();
     void runPosted();
     void pollSignals();
+    void watchSignals();
 
     st_h2o_evloop_t* m_native;
     std::map<Timer, Callback> m_timers;
     std::uint64_t m_nextTimer { 0 };
     std::vector<Callback> m_posted;
     Callback m_onTerminate;
+    Callback m_onReload;
     bool m_ranCallbacks { false };
     bool m_stopped { false };
 };
--- a/include/marigoldlink/Transport/HttpServer.h
+++ b/include/marigoldlink/Transport/HttpServer.h
@@ -27,6 +27,7 @@
     std::string_view method;
     std::string_view path; // without the query
     std::string_view query; // without the question mark
+    std::string_view authority; // the Host header, which the library keeps apart from the others
     std::string_view body;
     const void* native { nullptr };
 
--- /dev/null
+++ b/lib/Coordination/JobBook.cpp
@@ -0,0 +1,326 @@
+// The life of jobs and tasks.
+#include "marigoldlink/Coordination/JobBook.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace marigoldlink {
+
+namespace {
+
+    // Wait after a failed run, so that a task that fails at once does not take every start.
+    constexpr Duration s_firstRetryDelay { 20 };
+    constexpr Duration s_longestRetryDelay { 1000 };
+    constexpr int s_mostDoublings = 6;
+
+    Duration retryDelay(int failures)
+    {
+        const auto doublings = std::min(failures, s_mostDoublings);
+        return std::min(s_longestRetryDelay, s_firstRetryDelay * (1 << doublings));
+    }
+
+} // namespace
+
+Job& JobBook::accept(JobSpec spec, const JobQueue& queue, TimePoint now)
+{
+    auto job = std::make_unique<Job>();
+    job->spec = std::move(spec);
+    job->queue = queue;
+    job->acceptedAt = now;
+    job->isOwn = true;
+    auto& added = *job;
+    const auto id = added.spec.id;
+    m_jobs[id] = std::move(job);
+    m_active.insert(id);
+    if (!added.spec.schedule.isTimed())
+        open(added, 0, now);
+    return added;
+}
+
+Job& JobBook::restore(
+    JobSpec spec, const JobProgress& progress, const JobQueue& queue, TimePoint now, RunNumber firstRun)
+{
+    auto& job = accept(std::move(spec), queue, now);
+    job.isOwn = false;
+    job.state = progress.state;
+    job.storedState = progress.state;
+    job.hasStarted = progress.state != JobState::Pending;
+    job.finishedOccurrences = progress.finishedOccurrences;
+    m_firstRun[job.spec.id] = firstRun;
+    for (const int finished : job.finishedOccurrences)
+        job.occurrences.erase(finished);
+    if (!job.isActive()) {
+        job.endedAt = now;
+        job.occurrences.clear();
+        m_active.erase(job.spec.id);
+        return job;
+    }
+    for (const auto& [key, stored] : progress.tasks) {
+        if (job.finishedOccurrences.contains(key.occurrence) || key.occurrence >= job.spec.schedule.count()
+            || key.step >= static_cast<int>(job.spec.steps.size())
+            || key.index >= job.spec.steps[static_cast<std::size_t>(key.step)].tasks)
+            continue;
+        open(job, key.occurrence, now);
+        auto& task = *findTask(key);
+        task.isDone = stored.isDone;
+        task.failures = stored.failures;
+        task.checkpoint = stored.checkpoint;
+        if (task.isDone)
+            ++job.occurrences[key.occurrence].steps[static_cast<std::size_t>(key.step)].done;
+    }
+    for (auto& [number, occurrence] : job.occurrences) {
+        for (auto& step : occurrence.steps) {
+            for (auto& task : step.tasks)
+                task.lastRun = firstRun;
+        }
+    }
+    return job;
+}
+
+Job* JobBook::find(const JobId& id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+const Job* JobBook::find(const JobId& id) const { return const_cast<JobBook*>(this)->find(id); }
+
+Task* JobBook::findTask(const TaskKey& key)
+{
+    auto* job = find(key.job);
+    if (!job)
+        return nullptr;
+    const auto occurrence = job->occurrences.find(key.occurrence);
+    if (occurrence == job->occurrences.end())
+        return nullptr;
+    auto& steps = occurrence->second.steps;
+    if (key.step < 0 || key.step >= static_cast<int>(steps.size()))
+        return nullptr;
+    auto& tasks = steps[static_cast<std::size_t>(key.step)].tasks;
+    if (key.index < 0 || key.index >= static_cast<int>(tasks.size()))
+        return nullptr;
+    return &tasks[static_cast<std::size_t>(key.index)];
+}
+
+void JobBook::remove(const JobId& id)
+{
+    m_jobs.erase(id);
+    m_active.erase(id);
+    m_dirty.erase(id);
+    m_firstRun.erase(id);
+}
+
+Occurrence& JobBook::open(Job& job, int number, TimePoint now)
+{
+    const auto [position, isNew] = job.occurrences.try_emplace(number);
+    auto& occurrence = position->second;
+    if (!isNew)
+        return occurrence;
+    occurrence.readySince = now;
+    occurrence.steps.resize(job.spec.steps.size());
+    const auto first = m_firstRun.find(job.spec.id);
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+        occurrence.steps[i].tasks.resize(static_cast<std::size_t>(job.spec.steps[i].tasks));
+        if (first == m_firstRun.end())
+            continue;
+        for (auto& task : occurrence.steps[i].tasks)
+            task.lastRun = first->second;
+    }
+    return occurrence;
+}
+
+std::optional<std::int64_t> JobBook::openDue(TimePoint now, std::int64_t wallMs)
+{
+    std::optional<std::int64_t> next;
+    for (const auto& id : m_active) {
+        auto& job = *m_jobs.at(id);
+        const auto& schedule = job.spec.schedule;
+        for (int number = 0; schedule.isTimed() && number < schedule.count(); ++number) {
+            if (job.finishedOccurrences.contains(number) || job.occurrences.contains(number))
+                continue;
+            const auto due = schedule.dueUnixMs(number);
+            if (due > wallMs) {
+                next = std::min(next.value_or(due), due);
+                break;
+            }
+            open(job, number, now);
+        }
+    }
+    return next;
+}
+
+bool JobBook::isStepReady(const Job& job, const Occurrence& occurrence, int step) const
+{
+    const auto& spec = job.spec.steps[static_cast<std::size_t>(step)];
+    return std::all_of(spec.after.begin(), spec.after.end(), [&](int earlier) {
+        const auto& before = occurrence.steps[static_cast<std::size_t>(earlier)];
+        return before.done == static_cast<int>(before.tasks.size());
+    });
+}
+
+RunNumber JobBook::nextRun(const Job& job, const TaskKey& key) const
+{
+    const auto& occurrence = job.occurrences.at(key.occurrence);
+    const auto& tasks = occurrence.steps[static_cast<std::size_t>(key.step)].tasks;
+    if (!job.stepSpec(key).isGang)
+        return RunNumber(number(tasks[static_cast<std::size_t>(key.index)].lastRun) + 1);
+    std::int64_t last = 0;
+    for (const auto& task : tasks)
+        last = std::max(last, number(task.lastRun));
+    return RunNumber(last + 1);
+}
+
+void JobBook::runOrdered(const TaskKey& key, RunNumber run, const WorkerId& worker, TimePoint now)
+{
+    auto& job = *find(key.job);
+    auto& task = *findTask(key);
+    assert(!task.run && "a task has one run at a time");
+    task.lastRun = std::max(task.lastRun, run);
+    task.run = ActiveRun { run, worker, ActiveRun::Phase::Ordered, now, {}, 0, 0 };
+    ++job.occurrences[key.occurrence].steps[static_cast<std::size_t>(key.step)].active;
+    job.hasStarted = true;
+    if (job.state == JobState::Pending)
+        job.state = JobState::Running;
+}
+
+void JobBook::runFound(const TaskKey& key, RunNumber run, const WorkerId& worker, TimePoint now)
+{
+    runOrdered(key, run, worker, now);
+    findTask(key)->run->phase = ActiveRun::Phase::Running;
+}
+
+bool JobBook::runEnded(
+    const TaskKey& key, RunNumber run, RunEnd how, const std::string& checkpoint, TimePoint now)
+{
+    auto* job = find(key.job);
+    auto* task = findTask(key);
+    if (!job || !task)
+        return false;
+    const bool isCurrent = task->run && task->run->number == run;
+    if (isCurrent) {
+        task->run.reset();
+        --job->occurrences[key.occurrence].steps[static_cast<std::size_t>(key.step)].active;
+    }
+    task->lastRun = std::max(task->lastRun, run);
+    if (!job->isActive() || task->isDone)
+        return isCurrent;
+    if (!checkpoint.empty() && job->stepSpec(key).savesCheckpoints) {
+        task->checkpoint = checkpoint;
+        markDirty(*job);
+    }
+    if (how == RunEnd::Done && !job->stepSpec(key).isService)
+        taskDone(*job, key, now);
+    else if (how == RunEnd::Failed)
+        taskFailed(*job, key, now);
+    return true;
+}
+
+void JobBook::taskDone(Job& job, const TaskKey& key, TimePoint now)
+{
+    auto& occurrence = job.occurrences[key.occurrence];
+    auto& step = occurrence.steps[static_cast<std::size_t>(key.step)];
+    if (job.stepSpec(key).isGang) {
+        // One member that ends as done stands for the whole gang.
+        for (auto& task : step.tasks)
+            task.isDone = true;
+        step.done = static_cast<int>(step.tasks.size());
+    } else {
+        step.tasks[static_cast<std::size_t>(key.index)].isDone = true;
+        ++step.done;
+    }
+    markDirty(job);
+    const bool isWhole = std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+        [](const Step& other) { return other.done == static_cast<int>(other.tasks.size()); });
+    if (isWhole)
+        finishOccurrence(job, key.occurrence, now);
+}
+
+void JobBook::finishOccurrence(Job& job, int number, TimePoint now)
+{
+    job.finishedOccurrences.insert(number);
+    if (static_cast<int>(job.finishedOccurrences.size()) == job.spec.schedule.count())
+        end(job, JobState::Complete, now);
+}
+
+void JobBook::taskFailed(Job& job, const TaskKey& key, TimePoint now)
+{
+    auto& step = job.occurrences[key.occurrence].steps[static_cast<std::size_t>(key.step)];
+    const auto& spec = job.stepSpec(key);
+    // A gang fails as one; its first member keeps the count.
+    auto& counted = step.tasks[spec.isGang ? 0 : static_cast<std::size_t>(key.index)];
+    ++counted.failures;
+    for (auto& task : step.tasks) {
+        if (spec.isGang || &task == &counted)
+            task.notBefore = now + retryDelay(counted.failures);
+    }
+    if (spec.isService)
+        return;
+    markDirty(job);
+    if (counted.failures >= job.queue.attempts)
+        end(job, JobState::Failed, now);
+}
+
+void JobBook::end(Job& job, JobState state, TimePoint now)
+{
+    job.state = state;
+    job.endedAt = now;
+    m_active.erase(job.spec.id);
+    markDirty(job);
+}
+
+bool JobBook::cancel(const JobId& id, TimePoint now)
+{
+    auto* job = find(id);
+    if (!job || !job->isActive())
+        return false;
+    end(*job, JobState::Cancelled, now);
+    return true;
+}
+
+JobProgress JobBook::progress(const Job& job) const
+{
+    JobProgress progress;
+    progress.state = job.state;
+    progress.finishedOccurrences = job.finishedOccurrences;
+    if (!job.isActive())
+        return progress;
+    for (const auto& [number, occurrence] : job.occurrences) {
+        if (job.finishedOccurrences.contains(number))
+            continue;
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto& tasks = occurrence.steps[step].tasks;
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                const auto& task = tasks[index];
+                if (!task.isDone && !task.failures && task.checkpoint.empty())
+                    continue;
+                const TaskKey key { job.spec.id, number, static_cast<int>(step), static_cast<int>(index) };
+                progress.tasks[key] = { task.isDone, task.failures, task.isDone ? "" : task.checkpoint };
+            }
+        }
+    }
+    return progress;
+}
+
+void JobBook::markDirty(Job& job)
+{
+    ++job.version;
+    m_dirty.insert(job.spec.id);
+}
+
+std::vector<JobId> JobBook::takeDirty()
+{
+    std::vector<JobId> dirty(m_dirty.begin(), m_dirty.end());
+    m_dirty.clear();
+    return dirty;
+}
+
+void JobBook::stored(const JobId& id, std::uint64_t version, JobState state)
+{
+    auto* job = find(id);
+    if (!job)
+        return;
+    job->storedVersion = std::max(job->storedVersion, version);
+    job->storedState = state;
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/lib/Coordination/Journal.cpp
@@ -0,0 +1,84 @@
+// Batches, retries and their resolution.
+#include "marigoldlink/Coordination/Journal.h"
+
+#include <cassert>
+
+namespace marigoldlink {
+
+void Journal::put(const std::string& key, std::string value)
+{
+    const auto [position, isNew] = m_waiting.insert_or_assign(key, std::move(value));
+    if (isNew)
+        m_order.push_back(key);
+}
+
+void Journal::remove(const std::string& key)
+{
+    const auto [position, isNew] = m_waiting.insert_or_assign(key, std::nullopt);
+    if (isNew)
+        m_order.push_back(key);
+}
+
+std::optional<JournalBatch> Journal::next()
+{
+    if (m_isWriting || m_needsHeadRead || m_hasLost)
+        return std::nullopt;
+    if (!m_current) {
+        if (m_waiting.empty())
+            return std::nullopt;
+        m_current = JournalBatch { ++m_number, m_head, {}, {} };
+        for (std::size_t count = 0; count < mostRecords && !m_order.empty(); ++count) {
+            auto record = m_waiting.extract(m_order.front());
+            m_order.pop_front();
+            if (record.mapped())
+                m_current->puts.emplace_back(record.key(), std::move(*record.mapped()));
+            else
+                m_current->removals.push_back(record.key());
+        }
+    }
+    m_isWriting = true;
+    return m_current;
+}
+
+std::optional<JournalBatch> Journal::answered(JournalAnswer answer, Revision head)
+{
+    assert(m_isWriting && "an answer follows a batch that was sent");
+    m_isWriting = false;
+    switch (answer) {
+    case JournalAnswer::Stored:
+        return finish(head);
+    case JournalAnswer::Refused:
+        return std::nullopt;
+    case JournalAnswer::Unknown:
+        m_isUncertain = true;
+        return std::nullopt;
+    case JournalAnswer::Conflict:
+        if (m_isUncertain)
+            m_needsHeadRead = true;
+        else
+            m_hasLost = true;
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+std::optional<JournalBatch> Journal::headRead(Revision head, std::uint64_t number)
+{
+    assert(m_needsHeadRead && m_current && "the head is read after a conflict");
+    m_needsHeadRead = false;
+    if (number == m_current->number)
+        return finish(head);
+    m_hasLost = true;
+    return std::nullopt;
+}
+
+std::optional<JournalBatch> Journal::finish(Revision head)
+{
+    m_head = head;
+    m_isUncertain = false;
+    auto stored = std::move(m_current);
+    m_current.reset();
+    return stored;
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/lib/Coordination/Placement.cpp
@@ -0,0 +1,265 @@
+// Order of the waiting steps and choice of their workers.
+#include "marigoldlink/Coordination/Placement.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace marigoldlink {
+
+namespace {
+
+    std::size_t index(int value) { return static_cast<std::size_t>(value); }
+
+    bool hasLimit(const Resources& limit) { return limit.milliCores || limit.memoryMegabytes || limit.accelerators; }
+
+    bool within(std::int64_t value, std::int64_t limit) { return !limit || value <= limit; }
+
+} // namespace
+
+void TeamUse::add(const TeamId& team, const Resources& need) { m_used[team] += need; }
+void TeamUse::subtract(const TeamId& team, const Resources& need) { m_used[team] -= need; }
+
+double TeamUse::milliCores(const TeamId& team) const
+{
+    const auto found = m_used.find(team);
+    return found == m_used.end() ? 0 : static_cast<double>(found->second.milliCores);
+}
+
+bool TeamUse::allows(const JobTeam* team, const TeamId& id, const Resources& more) const
+{
+    if (!team || !hasLimit(team->limit))
+        return true;
+    const auto found = m_used.find(id);
+    const auto total = found == m_used.end() ? more : found->second + more;
+    return within(total.milliCores, team->limit.milliCores)
+        && within(total.memoryMegabytes, team->limit.memoryMegabytes)
+        && within(total.accelerators, team->limit.accelerators);
+}
+
+Duration remainingChain(const Job& job, const Occurrence& occurrence)
+{
+    Duration longest { 0 };
+    std::vector<Duration> endOf(occurrence.steps.size(), Duration(0));
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+        const auto& spec = job.spec.steps[i];
+        Duration begin { 0 };
+        for (const int earlier : spec.after)
+            begin = std::max(begin, endOf[index(earlier)]);
+        const bool isDone = occurrence.steps[i].done == static_cast<int>(occurrence.steps[i].tasks.size());
+        endOf[i] = begin + (isDone ? Duration(0) : spec.estimate);
+        longest = std::max(longest, endOf[i]);
+    }
+    return longest;
+}
+
+TimePoint objective(const Job& job, const Occurrence& occurrence)
+{
+    Duration longest { 0 };
+    std::vector<Duration> endOf(job.spec.steps.size(), Duration(0));
+    for (std::size_t i = 0; i < job.spec.steps.size(); ++i) {
+        Duration begin { 0 };
+        for (const int earlier : job.spec.steps[i].after)
+            begin = std::max(begin, endOf[index(earlier)]);
+        endOf[i] = begin + job.spec.steps[i].estimate;
+        longest = std::max(longest, endOf[i]);
+    }
+    const auto stretched = Duration(static_cast<std::int64_t>(static_cast<double>(longest.count()) * job.queue.stretch));
+    return occurrence.readySince + stretched + job.queue.slack;
+}
+
+std::vector<ReadyStep> Placement::readySteps(TimePoint now) const
+{
+    std::vector<ReadyStep> ready;
+    for (const auto& id : m_jobs.activeJobs()) {
+        const auto& job = *m_jobs.find(id);
+        if (!job.storedVersion || !m_isAccountedFor(job))
+            continue;
+        for (const auto& [number, occurrence] : job.occurrences) {
+            if (job.finishedOccurrences.contains(number))
+                continue;
+            const auto due = objective(job, occurrence);
+            const bool isLate = now + remainingChain(job, occurrence) > due;
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                const auto& step = occurrence.steps[i];
+                if (step.done + step.active >= static_cast<int>(step.tasks.size()))
+                    continue;
+                if (m_jobs.isStepReady(job, occurrence, static_cast<int>(i)))
+                    ready.push_back({ &job, number, static_cast<int>(i), due, isLate });
+            }
+        }
+    }
+    std::sort(ready.begin(), ready.end(), [](const ReadyStep& left, const ReadyStep& right) {
+        const auto rank = [](const ReadyStep& step) {
+            const bool isService = step.job->spec.steps[index(step.step)].isService;
+            return std::tuple(step.job->queue.priority, !isService, step.isLate, step.objective, step.job->spec.id,
+                step.occurrence, step.step);
+        };
+        return rank(left) < rank(right);
+    });
+    return ready;
+}
+
+// The usable workers of each service with the room that the plan so far leaves.
+struct Placement::Candidates {
+    struct Row {
+        const Worker* worker;
+        Resources room;
+        std::map<std::tuple<JobId, int, int>, int> planned; // by job, occurrence and step
+    };
+    std::map<ServiceId, std::vector<Row>> byService;
+    TeamUse use;
+
+    int ofStep(const Row& row, const ReadyStep& step) const
+    {
+        const std::tuple key { step.job->spec.id, step.occurrence, step.step };
+        const auto running = row.worker->tasksByStep.find(key);
+        const auto planned = row.planned.find(key);
+        return (running == row.worker->tasksByStep.end() ? 0 : running->second)
+            + (planned == row.planned.end() ? 0 : planned->second);
+    }
+
+    bool suits(const Row& row, const StepSpec& spec, const ReadyStep& step) const
+    {
+        if (!spec.reserved().fitsInto(row.room))
+            return false;
+        if (!spec.requiredLabel.empty() && !row.worker->entry.labels.contains(spec.requiredLabel))
+            return false;
+        return !spec.mostPerWorker || ofStep(row, step) < spec.mostPerWorker;
+    }
+
+    // The best worker for one more task of the step, or null. Smaller cost is better.
+    Row* best(const StepSpec& spec, const ReadyStep& step, const RackId& rack)
+    {
+        Row* chosen = nullptr;
+        auto lowest = std::numeric_limits<double>::max();
+        for (auto& row : byService[step.job->queue.service]) {
+            if (!suits(row, spec, step) || (!rack.empty() && row.worker->entry.rack != rack))
+                continue;
+            const auto cost = costOf(row, spec, step);
+            if (cost < lowest) {
+                lowest = cost;
+                chosen = &row;
+            }
+        }
+        return chosen;
+    }
+
+    double costOf(const Row& row, const StepSpec& spec, const ReadyStep& step) const
+    {
+        double cost = 0;
+        if (!spec.dataRack.empty() && row.worker->entry.rack != spec.dataRack)
+            cost += 100;
+        if (row.worker->entry.coldLeft > Duration(0))
+            cost += 10;
+        cost += 20 * row.worker->recentFailures;
+        const auto capacity = static_cast<double>(std::max<std::int64_t>(1, row.worker->entry.capacity.milliCores));
+        const auto free = static_cast<double>(row.room.milliCores) / capacity;
+        // Services are spread, so that the loss of one worker takes few of them. Other work is packed, which leaves
+        // whole workers free for wide tasks and for other pools.
+        if (spec.isService)
+            cost += ofStep(row, step) * 5 + static_cast<double>(row.worker->runs.size());
+        else
+            cost += free;
+        return cost;
+    }
+};
+
+std::vector<PlannedStart> Placement::plan(TimePoint now, std::size_t most) const
+{
+    const auto ready = readySteps(now);
+    if (ready.empty())
+        return {};
+    Candidates candidates { {}, m_use };
+    for (const auto& [id, worker] : m_workers.workers()) {
+        if (m_isUsable(worker))
+            candidates.byService[worker.entry.service].push_back({ &worker, worker.room(), {} });
+    }
+    std::vector<PlannedStart> starts;
+    for (const auto& step : ready) {
+        if (starts.size() >= most)
+            break;
+        if (candidates.byService[step.job->queue.service].empty())
+            continue;
+        if (step.job->spec.steps[index(step.step)].isGang)
+            planGang(step, now, candidates, starts);
+        else
+            planStep(step, now, candidates, most, starts);
+    }
+    return starts;
+}
+
+void Placement::planStep(const ReadyStep& ready, TimePoint now, Candidates& candidates, std::size_t most,
+    std::vector<PlannedStart>& starts) const
+{
+    const auto& job = *ready.job;
+    const auto& spec = job.spec.steps[index(ready.step)];
+    const auto team = m_config.teams.find(job.spec.team);
+    const auto* limits = team == m_config.teams.end() ? nullptr : &team->second;
+    const auto& tasks = job.occurrences.at(ready.occurrence).steps[index(ready.step)].tasks;
+    RackId rack;
+    for (std::size_t i = 0; i < tasks.size() && starts.size() < most; ++i) {
+        const auto& task = tasks[i];
+        if (task.isDone || task.run || task.notBefore > now)
+            continue;
+        if (!candidates.use.allows(limits, job.spec.team, spec.need))
+            return;
+        auto* row = candidates.best(spec, ready, rack);
+        if (!row && !rack.empty())
+            row = candidates.best(spec, ready, {});
+        if (!row)
+            return;
+        if (spec.wantsOneRack)
+            rack = row->worker->entry.rack;
+        const TaskKey key { job.spec.id, ready.occurrence, ready.step, static_cast<int>(i) };
+        starts.push_back({ key, m_jobs.nextRun(job, key), row->worker->entry.life.id });
+        row->room -= spec.reserved();
+        ++row->planned[{ job.spec.id, ready.occurrence, ready.step }];
+        candidates.use.add(job.spec.team, spec.need);
+    }
+}
+
+void Placement::planGang(
+    const ReadyStep& ready, TimePoint now, Candidates& candidates, std::vector<PlannedStart>& starts) const
+{
+    const auto& job = *ready.job;
+    const auto& spec = job.spec.steps[index(ready.step)];
+    const auto team = m_config.teams.find(job.spec.team);
+    const auto* limits = team == m_config.teams.end() ? nullptr : &team->second;
+    const auto& step = job.occurrences.at(ready.occurrence).steps[index(ready.step)];
+    // A gang starts anew only when nothing of its last run is left.
+    if (step.active || step.done || std::any_of(step.tasks.begin(), step.tasks.end(),
+            [now](const Task& task) { return task.notBefore > now; }))
+        return;
+    std::set<RackId> racks { {} };
+    if (spec.wantsOneRack) {
+        for (const auto& row : candidates.byService[job.queue.service])
+            racks.insert(row.worker->entry.rack);
+    }
+    // The rack of the data first, then any single rack, then wherever there is room.
+    std::vector<RackId> order(racks.rbegin(), racks.rend());
+    std::stable_sort(order.begin(), order.end(),
+        [&](const RackId& left, const RackId&) { return !spec.dataRack.empty() && left == spec.dataRack; });
+    for (const auto& rack : order) {
+        auto trial = candidates;
+        std::vector<PlannedStart> gang;
+        for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+            if (!trial.use.allows(limits, job.spec.team, spec.need))
+                return;
+            auto* row = trial.best(spec, ready, rack);
+            if (!row)
+                break;
+            const TaskKey key { job.spec.id, ready.occurrence, ready.step, static_cast<int>(i) };
+            gang.push_back({ key, m_jobs.nextRun(job, key), row->worker->entry.life.id });
+            row->room -= spec.reserved();
+            ++row->planned[{ job.spec.id, ready.occurrence, ready.step }];
+            trial.use.add(job.spec.team, spec.need);
+        }
+        if (gang.size() < step.tasks.size())
+            continue;
+        candidates = std::move(trial);
+        starts.insert(starts.end(), gang.begin(), gang.end());
+        return;
+    }
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/lib/Entry/Coordinator.cpp
@@ -0,0 +1,303 @@
+// Jobs, callers and the journal of a coordinator.
+#include "marigoldlink/Entry/Coordinator.h"
+
+#include "marigoldlink/Protocol/JobCodec.h"
+
+#include <algorithm>
+
+namespace marigoldlink {
+
+namespace {
+
+    // Progress of several jobs shares a write if it falls into this time.
+    constexpr Duration s_progressDelay { 40 };
+    // Submissions that arrive together share a write.
+    constexpr Duration s_submissionDelay { 4 };
+    // Wait before a write that the store refused or did not answer is sent again.
+    constexpr Duration s_journalRetryDelay { 150 };
+    constexpr Duration s_forgetPeriod { 5000 };
+    // Longest time between two ticks while nothing is due.
+    constexpr Duration s_idleTick { 1000 };
+    // Runs of jobs that an earlier coordinator accepted are numbered from here on in each term, so that a run that is
+    // not known here has a lower number.
+    constexpr std::int64_t s_runsPerTerm = 1000;
+
+} // namespace
+
+Coordinator::Coordinator(
+    CoordinatorSettings settings, Term term, Journal journal, TimePoint now, DecisionLog log)
+    : m_settings(std::move(settings))
+    , m_term(term)
+    , m_journal(std::move(journal))
+    , m_startedAt(now)
+    , m_log(std::move(log))
+    , m_waves({ m_settings.maintenanceTime, Duration(1500), Duration(3000) })
+    , m_nextTick(now)
+{
+}
+
+void Coordinator::log(const std::string& subject, const std::string& id, const std::string& text) const
+{
+    if (m_log)
+        m_log({ subject, id, text });
+}
+
+const JobQueue& Coordinator::queueOf(const JobSpec& spec) const
+{
+    static const JobQueue unknown;
+    const auto found = m_operators.config.queues.find(spec.queue);
+    return found == m_operators.config.queues.end() ? unknown : found->second;
+}
+
+void Coordinator::restoreJob(JobSpec spec, const JobProgress& progress, TimePoint now)
+{
+    const auto queue = queueOf(spec);
+    const auto first = RunNumber(static_cast<std::int64_t>(m_term.number) * s_runsPerTerm);
+    auto& job = m_jobs.restore(std::move(spec), progress, queue, now, first);
+    job.version = job.storedVersion = 1;
+}
+
+void Coordinator::restoreWave(const WaveId& id, std::set<std::string> finished)
+{
+    m_waves.restore(id, std::move(finished));
+}
+
+void Coordinator::restored(TimePoint now)
+{
+    m_isRestored = true;
+    m_mustPlace = true;
+    m_nextTick = now;
+    log("coordinator", std::to_string(m_term.fence),
+        "took over with " + std::to_string(m_jobs.activeJobs().size()) + " active jobs and "
+            + std::to_string(m_workers.workers().size()) + " workers");
+}
+
+void Coordinator::setOperators(const OperatorState& operators, TimePoint now)
+{
+    m_operators = operators;
+    for (const auto& [id, job] : m_jobs.jobs()) {
+        const auto found = operators.config.queues.find(job->spec.queue);
+        if (found != operators.config.queues.end())
+            m_jobs.find(id)->queue = found->second;
+    }
+    m_waves.setWaves(operators.waves, now);
+    m_mustPlace = true;
+    m_nextTick = now;
+}
+
+void Coordinator::submit(CallToken token, JobSpec spec, TimePoint now)
+{
+    const auto id = spec.id;
+    if (const auto* known = m_jobs.find(id)) {
+        if (known->storedVersion)
+            m_orders.emplace_back(ReplyOrder { token, { Reply::Kind::Accepted, {}, 0, {} } });
+        else
+            m_replies[id].push_back({ token, 1, { Reply::Kind::Accepted, {}, 0, {} } });
+        return;
+    }
+    const auto queue = queueOf(spec);
+    auto& job = m_jobs.accept(std::move(spec), queue, now);
+    ++job.version;
+    m_unwritten.insert(id);
+    m_replies[id].push_back({ token, job.version, { Reply::Kind::Accepted, {}, 0, {} } });
+    m_nextFlush = std::min(m_nextFlush, now + s_submissionDelay);
+    m_nextTick = std::min(m_nextTick, now + s_submissionDelay);
+}
+
+void Coordinator::cancel(CallToken token, const JobId& id, TimePoint now)
+{
+    auto* job = m_jobs.find(id);
+    if (!job) {
+        m_orders.emplace_back(ReplyOrder { token, { Reply::Kind::UnknownJob, {}, 0, {} } });
+        return;
+    }
+    if (m_jobs.cancel(id, now)) {
+        log("job", id.value(), "cancelled");
+        stopRunsOf(*job, now);
+        m_nextFlush = std::min(m_nextFlush, now + s_submissionDelay);
+        m_nextTick = std::min(m_nextTick, now + s_submissionDelay);
+    }
+    const Reply reply { Reply::Kind::Cancelled, job->state, 0, {} };
+    if (job->storedVersion >= job->version)
+        m_orders.emplace_back(ReplyOrder { token, reply });
+    else
+        m_replies[id].push_back({ token, job->version, reply });
+}
+
+Reply Coordinator::look(const JobId& id) const
+{
+    const auto* job = m_jobs.find(id);
+    if (!job)
+        return { Reply::Kind::UnknownJob, {}, 0, {} };
+    auto state = job->storedState;
+    if (state == JobState::Pending && job->hasStarted)
+        state = JobState::Running;
+    return { Reply::Kind::State, state, 0, {} };
+}
+
+Reply Coordinator::waiting(const QueueId& queue) const
+{
+    std::int64_t count = 0;
+    for (const auto& id : m_jobs.activeJobs()) {
+        const auto& job = *m_jobs.find(id);
+        count += job.spec.queue == queue && !job.hasStarted && job.storedVersion;
+    }
+    return { Reply::Kind::Waiting, {}, count, {} };
+}
+
+void Coordinator::flushJobs(TimePoint now)
+{
+    for (const auto& id : std::exchange(m_unwritten, {})) {
+        const auto* job = m_jobs.find(id);
+        if (!job)
+            continue;
+        const auto key = records::job(id);
+        m_journal.put(key, encodeJob(job->spec));
+        m_waitingMarks[key] = { id, 1, JobState::Pending };
+    }
+    for (const auto& id : m_jobs.takeDirty()) {
+        const auto* job = m_jobs.find(id);
+        if (!job)
+            continue;
+        const auto key = records::progress(id);
+        m_journal.put(key, encodeProgress(m_jobs.progress(*job)));
+        m_waitingMarks[key] = { id, job->version, job->state };
+    }
+    for (const auto& change : m_waves.takeChanges()) {
+        m_journal.put(records::wave(change.wave), encodeWave(change.finished));
+        m_journal.put(m_settings.waveStatusPrefix + change.wave.value(), encodeWaveStatus(change.isComplete));
+        log("wave", change.wave.value(),
+            std::to_string(change.finished.size()) + " instances finished" + (change.isComplete ? ", complete" : ""));
+    }
+    m_nextFlush = now + s_progressDelay;
+}
+
+void Coordinator::sendJournal(TimePoint)
+{
+    auto batch = m_journal.next();
+    if (!batch)
+        return;
+    for (const auto& [key, value] : batch->puts) {
+        if (auto mark = m_waitingMarks.extract(key))
+            m_batchMarks.insert_or_assign(key, mark.mapped());
+    }
+    m_orders.emplace_back(JournalOrder { std::move(*batch) });
+}
+
+void Coordinator::journalAnswered(JournalAnswer answer, Revision head, TimePoint now)
+{
+    const auto stored = m_journal.answered(answer, head);
+    if (m_journal.needsHeadRead())
+        m_orders.emplace_back(ReadHeadOrder {});
+    if (stored) {
+        batchStored(*stored, now);
+        m_nextTick = std::min(m_nextTick, std::max(now, m_nextFlush));
+        sendJournal(now);
+        return;
+    }
+    if (m_journal.hasLost())
+        log("coordinator", std::to_string(m_term.fence), "lost the journal to another coordinator");
+    else if (answer != JournalAnswer::Conflict)
+        m_nextFlush = now + s_journalRetryDelay;
+    m_nextTick = std::min(m_nextTick, m_nextFlush);
+}
+
+void Coordinator::headRead(Revision head, std::uint64_t number, TimePoint now)
+{
+    if (const auto stored = m_journal.headRead(head, number))
+        batchStored(*stored, now);
+    m_nextTick = now;
+}
+
+void Coordinator::batchStored(const JournalBatch& batch, TimePoint now)
+{
+    const auto marks = std::exchange(m_batchMarks, {});
+    for (const auto& [key, value] : batch.puts) {
+        const auto mark = marks.find(key);
+        if (mark == marks.end())
+            continue;
+        m_jobs.stored(mark->second.job, mark->second.version, mark->second.state);
+        releaseReplies(mark->second.job);
+    }
+    for (auto& [id, worker] : m_workers.workers()) {
+        if (worker.pendingEnds.empty())
+            continue;
+        advanceAcknowledged(worker);
+        if (worker.pendingEnds.empty())
+            worker.nextLook = std::min(worker.nextLook, now);
+    }
+    m_mustPlace = true;
+    m_nextTick = now;
+}
+
+void Coordinator::releaseReplies(const JobId& id)
+{
+    const auto found = m_replies.find(id);
+    const auto* job = m_jobs.find(id);
+    if (found == m_replies.end() || !job)
+        return;
+    std::erase_if(found->second, [&](const PendingReply& pending) {
+        if (pending.version > job->storedVersion)
+            return false;
+        m_orders.emplace_back(ReplyOrder { pending.token, pending.reply });
+        return true;
+    });
+    if (found->second.empty())
+        m_replies.erase(found);
+}
+
+void Coordinator::forgetOldJobs(TimePoint now)
+{
+    m_nextForget = now + s_forgetPeriod;
+    std::vector<JobId> old;
+    for (const auto& [id, job] : m_jobs.jobs()) {
+        if (job->endedAt && now - *job->endedAt > m_settings.statusKept + s_forgetPeriod && !job->isDirty())
+            old.push_back(id);
+    }
+    for (const auto& id : old) {
+        m_journal.remove(records::job(id));
+        m_journal.remove(records::progress(id));
+        m_jobs.remove(id);
+    }
+}
+
+void Coordinator::tick(TimePoint now, std::int64_t wallMs)
+{
+    m_nextTick = now + s_idleTick;
+    if (isDeposed())
+        return;
+    lookAtWorkers(now);
+    if (!m_isRestored)
+        return;
+    dropLapsed(now);
+    if (const auto due = m_jobs.openDue(now, wallMs))
+        m_nextTick = std::min(m_nextTick, now + Duration(std::max<std::int64_t>(1, *due - wallMs)));
+    for (auto& [key, at] : m_stopRetries) {
+        if (at > now)
+            continue;
+        const auto* task = m_jobs.findTask(key.second);
+        const auto* worker = m_workers.find(key.first);
+        if (worker && worker->runs.contains(key.second))
+            orderStop(key.first, key.second, worker->runs.at(key.second), now);
+        else if (!task)
+            at = now + s_idleTick;
+    }
+    std::erase_if(m_stopRetries, [this](const auto& entry) {
+        const auto* worker = m_workers.find(entry.first.first);
+        return !worker || !worker->runs.contains(entry.first.second);
+    });
+    for (const auto& [key, at] : m_stopRetries)
+        m_nextTick = std::min(m_nextTick, std::max(at, now + Duration(1)));
+    stopLoneGangs(now);
+    runWaves(now);
+    placeTasks(now);
+    if (m_nextForget <= now)
+        forgetOldJobs(now);
+    if (m_nextFlush <= now) {
+        flushJobs(now);
+        sendJournal(now);
+    }
+    m_nextTick = std::min(m_nextTick, std::max(m_nextFlush, now + Duration(1)));
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -0,0 +1,248 @@
+// Starts and stops of runs.
+#include "marigoldlink/Entry/Coordinator.h"
+
+#include <algorithm>
+
+namespace marigoldlink {
+
+namespace {
+
+    // Starts ordered in one tick at the most, so that one tick stays short on a small machine.
+    constexpr std::size_t s_startsPerTick = 64;
+    // Wait before a stop without an answer is sent again.
+    constexpr Duration s_stopRetryDelay { 400 };
+    // Wait before a task whose start was rejected is placed again.
+    constexpr Duration s_rejectedDelay { 60 };
+    // A worker is left out for so long after it failed or rejected several starts in a row.
+    constexpr Duration s_distrust { 3000 };
+    constexpr double s_distrustAbove = 3;
+    constexpr double s_failureFade = 0.7; // of earlier failures for each run that ended well
+    // Members of a gang that wait for the others longer than this are stopped together.
+    constexpr Duration s_gangPatience { 2000 };
+
+} // namespace
+
+bool Coordinator::isUsable(const Worker& worker, TimePoint now) const
+{
+    const auto pool = m_operators.config.pools.find(worker.entry.service);
+    if (pool == m_operators.config.pools.end() || pool->second.isSpare)
+        return false;
+    return worker.isRegistered && worker.isFenced && worker.isAnswering && !worker.entry.isDraining
+        && !worker.isReserved && worker.distrustedUntil <= now
+        && !m_operators.evacuated.contains(worker.entry.dataCenter);
+}
+
+bool Coordinator::isAccountedFor(const Job& job, TimePoint now) const
+{
+    if (job.isOwn)
+        return true;
+    const auto allLapsedBy = m_startedAt + m_settings.earlierOrders
+        + Duration(static_cast<std::int64_t>(
+            static_cast<double>(m_settings.longestLease.count()) / LeaseClock::slowestRate));
+    if (now >= allLapsedBy)
+        return true;
+    return std::none_of(m_workers.workers().begin(), m_workers.workers().end(), [&](const auto& entry) {
+        return !entry.second.isFenced && entry.second.entry.service == job.queue.service;
+    });
+}
+
+void Coordinator::placeTasks(TimePoint now)
+{
+    if (!m_mustPlace || !m_operators.hasConfig())
+        return;
+    m_mustPlace = false;
+    const Placement placement(
+        m_jobs, m_workers, m_operators.config, m_use,
+        [this, now](const Worker& worker) { return isUsable(worker, now); },
+        [this, now](const Job& job) { return isAccountedFor(job, now); });
+    const auto starts = placement.plan(now, s_startsPerTick);
+    for (const auto& start : starts)
+        orderStart(start, now);
+    if (starts.size() == s_startsPerTick) {
+        m_mustPlace = true;
+        m_nextTick = now + Duration(1);
+    }
+}
+
+void Coordinator::orderStart(const PlannedStart& start, TimePoint now)
+{
+    auto& worker = *m_workers.find(start.worker);
+    const auto& job = *m_jobs.find(start.task.job);
+    const auto& step = job.stepSpec(start.task);
+    const auto checkpoint = m_jobs.findTask(start.task)->checkpoint;
+    m_jobs.runOrdered(start.task, start.run, start.worker, now);
+    m_workers.occupy(start.worker, start.task, start.run, step);
+    m_use.add(job.spec.team, step.need);
+    m_orders.emplace_back(StartOrder { worker.entry.life, worker.entry.endpoint, start.task, start.run,
+        job.spec.payload, checkpoint, {}, worker.lease.extend(now, m_settings.lease) });
+}
+
+void Coordinator::startAnswered(const WorkerLife& life, const TaskKey& key, RunNumber run, StartAnswer answer,
+    std::int64_t clockMs, TimePoint now)
+{
+    auto* worker = m_workers.find(life.id);
+    if (!worker || worker->entry.life.bornUnixMs != life.bornUnixMs)
+        return;
+    const auto isCurrent = [&] {
+        const auto found = worker->runs.find(key);
+        return found != worker->runs.end() && found->second == run;
+    };
+    if (clockMs && answer != StartAnswer::OtherLife)
+        worker->lease.reading(now, clockMs);
+    if (!isCurrent())
+        return;
+    switch (answer) {
+    case StartAnswer::Started: {
+        m_confirmedAt[{ life.id, key }] = now;
+        auto* task = m_jobs.findTask(key);
+        if (task && task->run && task->run->number == run && task->run->phase == ActiveRun::Phase::Ordered)
+            task->run->phase = ActiveRun::Phase::Running;
+        // The look that is under way does not extend the lease for long enough if it waits for an end.
+        return;
+    }
+    case StartAnswer::StaleFence:
+        m_isDeposed = true;
+        log("coordinator", std::to_string(m_term.fence), "deposed: worker " + life.id.value() + " has a higher fence");
+        return;
+    case StartAnswer::Unknown:
+        worker->isAnswering = false;
+        worker->recentFailures += 1;
+        worker->nextLook = now;
+        m_nextTick = now;
+        orderStop(life.id, key, run, now);
+        return;
+    default:
+        break;
+    }
+    log("task", key.text(), "start on " + life.id.value() + " refused, kind " + std::to_string(static_cast<int>(answer)));
+    if (answer == StartAnswer::OtherLife || answer == StartAnswer::NotSent) {
+        worker->isAnswering = false;
+        worker->nextLook = now;
+    }
+    if (answer == StartAnswer::Unhealthy || answer == StartAnswer::NotSent)
+        worker->recentFailures += 1;
+    if (worker->recentFailures > s_distrustAbove) {
+        worker->distrustedUntil = now + s_distrust;
+        worker->recentFailures = s_distrustAbove - 1;
+        log("worker", life.id.value(), "left out for a while: refuses starts");
+    }
+    runOver(life.id, key, run, RunEnd::Lost, {}, now);
+    if (auto* task = m_jobs.findTask(key))
+        task->notBefore = now + s_rejectedDelay;
+    m_nextTick = std::min(m_nextTick, now + s_rejectedDelay);
+}
+
+void Coordinator::orderStop(const WorkerId& id, const TaskKey& key, RunNumber run, TimePoint now)
+{
+    auto* worker = m_workers.find(id);
+    if (!worker)
+        return;
+    if (auto* task = m_jobs.findTask(key); task && task->run && task->run->number == run)
+        task->run->phase = ActiveRun::Phase::Stopping;
+    m_stopRetries[{ id, key }] = now + s_stopRetryDelay;
+    m_orders.emplace_back(StopOrder { worker->entry.life, worker->entry.endpoint, key, run });
+}
+
+void Coordinator::stopAnswered(
+    const WorkerLife& life, const TaskKey& key, RunNumber run, StopAnswer answer, TimePoint now)
+{
+    auto* worker = m_workers.find(life.id);
+    if (!worker || worker->entry.life.bornUnixMs != life.bornUnixMs)
+        return;
+    const auto found = worker->runs.find(key);
+    if (found == worker->runs.end() || found->second != run)
+        return;
+    if (answer == StopAnswer::StaleFence) {
+        m_isDeposed = true;
+        return;
+    }
+    if (answer != StopAnswer::Stopping)
+        return; // sent again by the tick
+    // From now on the run cannot start any more; the next look tells whether it still winds down.
+    m_stopRetries[{ life.id, key }] = now + m_settings.longestLease;
+    m_confirmedAt[{ life.id, key }] = now;
+    worker->nextLook = std::min(worker->nextLook, now);
+    m_nextTick = now;
+}
+
+void Coordinator::stopRunsOf(const Job& job, TimePoint now)
+{
+    std::vector<std::tuple<WorkerId, TaskKey, RunNumber>> runs;
+    for (const auto& [id, worker] : m_workers.workers()) {
+        const auto first = worker.runs.lower_bound(TaskKey { job.spec.id, 0, 0, 0 });
+        for (auto run = first; run != worker.runs.end() && run->first.job == job.spec.id; ++run)
+            runs.emplace_back(id, run->first, run->second);
+    }
+    for (const auto& [id, key, run] : runs)
+        orderStop(id, key, run, now);
+}
+
+void Coordinator::runOver(const WorkerId& id, const TaskKey& key, RunNumber run, RunEnd how,
+    const std::string& checkpoint, TimePoint now)
+{
+    auto* job = m_jobs.find(key.job);
+    auto* worker = m_workers.find(id);
+    const auto held = worker ? worker->runs.find(key) : std::map<TaskKey, RunNumber>::iterator {};
+    const bool isHeld = worker && held != worker->runs.end() && held->second == run;
+    if (isHeld && job) {
+        const auto& step = job->stepSpec(key);
+        m_workers.release(id, key, run, step);
+        m_use.subtract(job->spec.team, step.need);
+        m_confirmedAt.erase({ id, key });
+        m_stopRetries.erase({ id, key });
+    }
+    if (worker && how == RunEnd::Done)
+        worker->recentFailures *= s_failureFade;
+    if (worker && how == RunEnd::Failed) {
+        worker->recentFailures += 1;
+        if (worker->recentFailures > s_distrustAbove) {
+            worker->distrustedUntil = now + s_distrust;
+            worker->recentFailures = s_distrustAbove - 1;
+            log("worker", id.value(), "left out for a while: its tasks fail");
+        }
+    }
+    const bool wasActive = job && job->isActive();
+    m_jobs.runEnded(key, run, how, checkpoint, now);
+    if (how != RunEnd::Done)
+        log("task", key.text(), "run " + std::to_string(number(run)) + " on " + id.value() + " ended: " + name(how));
+    if (wasActive && !job->isActive()) {
+        log("job", key.job.value(), std::string("ended: ") + name(job->state));
+        stopRunsOf(*job, now);
+        m_nextFlush = std::min(m_nextFlush, now);
+    }
+    m_mustPlace = true;
+    m_nextTick = now;
+}
+
+void Coordinator::runsLost(const WorkerId& id, const std::map<TaskKey, RunNumber>& runs, TimePoint now)
+{
+    for (const auto& [key, run] : runs) {
+        // The book of the worker's new life does not hold them any more; only the jobs and the teams do.
+        if (const auto* job = m_jobs.find(key.job); job && m_workers.find(id) && !m_workers.find(id)->runs.contains(key))
+            m_use.subtract(job->spec.team, job->stepSpec(key).need);
+        m_confirmedAt.erase({ id, key });
+        runOver(id, key, run, RunEnd::Lost, {}, now);
+    }
+}
+
+void Coordinator::stopLoneGangs(TimePoint now)
+{
+    for (const auto& id : m_jobs.activeJobs()) {
+        const auto& job = *m_jobs.find(id);
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                const auto& step = occurrence.steps[i];
+                if (!job.spec.steps[i].isGang || !step.active || step.active == static_cast<int>(step.tasks.size()))
+                    continue;
+                for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+                    const auto& run = step.tasks[index].run;
+                    if (run && run->phase == ActiveRun::Phase::Running && now - run->since < s_gangPatience)
+                        orderStop(run->worker,
+                            { id, number, static_cast<int>(i), static_cast<int>(index) }, run->number, now);
+                }
+            }
+        }
+    }
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -0,0 +1,148 @@
+// Maintenance waves of a coordinator.
+#include "marigoldlink/Entry/Coordinator.h"
+
+#include <algorithm>
+
+namespace marigoldlink {
+
+namespace {
+
+    constexpr Duration s_waveStep { 100 };
+    // The instance list is read this often while a wave is under way.
+    constexpr Duration s_listPeriod { 500 };
+
+} // namespace
+
+void Coordinator::instancesListed(std::vector<FleetInstance> instances, TimePoint now)
+{
+    m_isListing = false;
+    m_nextList = now + s_listPeriod;
+    if (instances.empty())
+        return;
+    m_instances.clear();
+    for (auto& instance : instances) {
+        const auto id = instance.id;
+        m_instances.emplace(id, std::move(instance));
+    }
+    m_nextTick = now;
+}
+
+int Coordinator::awayTasks(const Job& job, const Occurrence& occurrence, int step, TimePoint now) const
+{
+    const auto& tasks = occurrence.steps[static_cast<std::size_t>(step)].tasks;
+    return static_cast<int>(std::count_if(tasks.begin(), tasks.end(), [&](const Task& task) {
+        const bool isAtWork = task.run && task.run->phase == ActiveRun::Phase::Running && task.run->percent >= 100;
+        return !isAtWork && job.isActive() && now.time_since_epoch().count() > 0;
+    }));
+}
+
+WaveLoad Coordinator::waveLoad(const std::string& instance, TimePoint now) const
+{
+    WaveLoad load;
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end())
+        return load;
+    const auto* worker = m_workers.find(found->second.worker);
+    if (!worker)
+        return load;
+    for (const auto& [key, run] : worker->runs) {
+        const auto* job = m_jobs.find(key.job);
+        if (!job || !job->isActive())
+            continue;
+        const auto& spec = job->stepSpec(key);
+        if (!spec.isService) {
+            ++load.tasks;
+            continue;
+        }
+        ++load.services;
+        const auto& occurrence = job->occurrences.at(key.occurrence);
+        const auto* task = &occurrence.steps[static_cast<std::size_t>(key.step)].tasks[static_cast<std::size_t>(key.index)];
+        const bool isAtWork = task->run && task->run->number == run && task->run->percent >= 100;
+        const int others = awayTasks(*job, occurrence, key.step, now) - (isAtWork ? 0 : 1);
+        const int here = worker->tasksByStep.at({ key.job, key.occurrence, key.step });
+        if (spec.mayMiss > 0 && others + here > spec.mayMiss)
+            load.mayEndServices = false;
+    }
+    return load;
+}
+
+void Coordinator::runWaves(TimePoint now)
+{
+    if (!m_waves.hasWork()) {
+        for (auto& [id, worker] : m_workers.workers())
+            worker.isReserved = false;
+        return;
+    }
+    if (!m_isListing && m_nextList <= now) {
+        m_isListing = true;
+        m_orders.emplace_back(ListInstancesOrder {});
+    }
+    m_nextTick = std::min(m_nextTick, std::max(m_nextWaveStep, now + Duration(1)));
+    if (m_nextWaveStep > now)
+        return;
+    m_nextWaveStep = now + s_waveStep;
+    // One instance at a time, as each changes what the services can spare.
+    const auto steps = m_waves.plan(
+        m_instances, [this, now](const std::string& instance) { return waveLoad(instance, now); }, now);
+    for (const auto& step : steps) {
+        const bool isRepeated = m_waves.isAway(step.instance);
+        if (m_maintenanceUnderWay.contains(step.instance)
+            || (!isRepeated && !waveLoad(step.instance, now).mayEndServices))
+            continue;
+        m_waves.begun(step.wave, step.instance, now);
+        m_maintenanceUnderWay.insert(step.instance);
+        log("instance", step.instance, "maintenance begins, wave " + step.wave.value());
+        m_orders.emplace_back(MaintainOrder { step.instance, step.wave, step.number });
+        const auto& instance = m_instances.at(step.instance);
+        auto* worker = m_workers.find(instance.worker);
+        if (!worker)
+            continue;
+        // Its services count as away from now on.
+        for (const auto& [key, run] : worker->runs) {
+            auto* task = m_jobs.findTask(key);
+            if (task && task->run && task->run->number == run)
+                task->run->phase = ActiveRun::Phase::Stopping;
+        }
+    }
+    for (auto& [id, worker] : m_workers.workers())
+        worker.isReserved = false;
+    for (const auto& [id, instance] : m_instances) {
+        auto* worker = m_workers.find(instance.worker);
+        if (worker && (m_waves.reserved().contains(id) || m_waves.isAway(id)))
+            worker->isReserved = true;
+    }
+}
+
+void Coordinator::instanceAnswered(const std::string& instance, InstanceAnswer answer, TimePoint now)
+{
+    m_maintenanceUnderWay.erase(instance);
+    m_nextTick = now;
+    const auto found = m_instances.find(instance);
+    if (answer == InstanceAnswer::StaleFence) {
+        m_isDeposed = true;
+        log("coordinator", std::to_string(m_term.fence), "deposed: instance " + instance + " has a higher fence");
+        return;
+    }
+    if (answer == InstanceAnswer::Unknown) {
+        m_waves.unanswered(instance, now);
+        return;
+    }
+    if (answer != InstanceAnswer::Done) {
+        log("instance", instance, "maintenance refused, kind " + std::to_string(static_cast<int>(answer)));
+        m_waves.rejected(instance, now);
+        return;
+    }
+    m_waves.accepted(instance, now);
+    m_nextFlush = std::min(m_nextFlush, now + Duration(20));
+    if (found == m_instances.end())
+        return;
+    found->second.state = InstanceState::Upkeep;
+    const auto worker = found->second.worker;
+    if (auto* known = m_workers.find(worker)) {
+        for (const auto& [key, run] : std::map(known->runs))
+            runOver(worker, key, run, RunEnd::Lost, {}, now);
+        m_workers.remove(worker); // another worker comes with the instance
+    }
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -0,0 +1,296 @@
+// Looks at workers: runs, ends, leases and pace.
+#include "marigoldlink/Entry/Coordinator.h"
+
+#include <algorithm>
+
+namespace marigoldlink {
+
+namespace {
+
+    // A look waits this long for an end on a worker that runs something, and on one that runs nothing.
+    constexpr Duration s_busyWait { 1000 };
+    constexpr Duration s_idleWait { 2000 };
+    // Workers with services and fillers are looked at this often, so that the pace follows the tails.
+    constexpr Duration s_pacedWait { 400 };
+    // Wait after a look that failed.
+    constexpr Duration s_failedLookDelay { 300 };
+    // Ends that arrive within this time are written together before the next look.
+    constexpr Duration s_endDelay { 30 };
+    // Time between looks while ends wait for a store that does not write.
+    constexpr Duration s_unstoredDelay { 250 };
+    // A worker that left the registry is forgotten after this time without an answer.
+    constexpr Duration s_forgetMissing { 10000 };
+
+    // Pace of fillers: down fast when a tail comes near its target, up slowly.
+    constexpr double s_paceDownAbove = 0.85; // of the target
+    constexpr double s_paceUpBelow = 0.6;
+    constexpr int s_fullPace = 100;
+    constexpr int s_paceStepUp = 15;
+    constexpr Duration s_pacePause { 300 };
+
+} // namespace
+
+void Coordinator::workerEntry(const WorkerEntry& entry, TimePoint now)
+{
+    const auto* known = m_workers.find(entry.life.id);
+    const bool isNew = !known;
+    const bool isChanged = isNew || known->entry.isDraining != entry.isDraining || known->entry.service != entry.service;
+    const auto lost = m_workers.entryChanged(entry, now);
+    if (isChanged)
+        log("worker", entry.life.id.value(),
+            std::string(isNew ? "known" : "changed") + (entry.isDraining ? ", draining" : "") + ", pool "
+                + entry.service.value());
+    if (!lost.empty()) {
+        log("worker", entry.life.id.value(), "began another life; " + std::to_string(lost.size()) + " runs lost");
+        runsLost(entry.life.id, lost, now);
+    }
+    m_mustPlace = true;
+    m_nextTick = now;
+}
+
+void Coordinator::workerEntryRemoved(const WorkerId& id, TimePoint now)
+{
+    m_workers.entryRemoved(id, now);
+    log("worker", id.value(), "left the registry");
+}
+
+void Coordinator::lookAtWorkers(TimePoint now)
+{
+    std::vector<WorkerId> forgotten;
+    for (auto& [id, worker] : m_workers.workers()) {
+        if (!worker.isRegistered && !worker.isAnswering && worker.runs.empty()
+            && now - std::max(worker.missingSince, worker.lastAnswer) > s_forgetMissing) {
+            forgotten.push_back(id);
+            continue;
+        }
+        if (worker.isLookUnderWay)
+            continue;
+        if (worker.nextLook > now) {
+            m_nextTick = std::min(m_nextTick, worker.nextLook);
+            continue;
+        }
+        const auto pool = m_operators.config.pools.find(worker.entry.service);
+        if (pool != m_operators.config.pools.end() && pool->second.isSpare && worker.runs.empty() && worker.isFenced) {
+            worker.nextLook = now + s_idleWait;
+            continue;
+        }
+        advanceAcknowledged(worker);
+        LookOrder order { worker.entry.life, worker.entry.endpoint, std::nullopt, worker.acknowledged, Duration(0) };
+        if (worker.isFenced && worker.isAnswering) {
+            order.wait = worker.runs.empty() ? s_idleWait : s_busyWait;
+            if (m_nextPace.contains(id))
+                order.wait = s_pacedWait;
+            if (!worker.pendingEnds.empty())
+                order.wait = Duration(0);
+        }
+        // The lease of a worker that does not answer is left to lapse, so that its tasks can start elsewhere.
+        if (worker.lease.hasReading() && worker.isAnswering && !worker.runs.empty())
+            order.deadlineMs = worker.lease.extend(now, m_settings.lease);
+        worker.isLookUnderWay = true;
+        worker.lookSentAt = now;
+        m_orders.emplace_back(std::move(order));
+    }
+    for (const auto& id : forgotten) {
+        log("worker", id.value(), "forgotten");
+        m_workers.remove(id);
+        m_nextPace.erase(id);
+    }
+}
+
+void Coordinator::lookAnswered(const WorkerLife& life, const LookAnswer& answer, TimePoint now)
+{
+    auto* worker = m_workers.find(life.id);
+    if (!worker)
+        return;
+    worker->isLookUnderWay = false;
+    m_nextTick = now;
+    if (answer.status == LookAnswer::Status::StaleFence) {
+        m_isDeposed = true;
+        log("coordinator", std::to_string(m_term.fence), "deposed: worker " + life.id.value() + " has a higher fence");
+        return;
+    }
+    if (answer.status != LookAnswer::Status::Answered) {
+        if (worker->isAnswering)
+            log("worker", life.id.value(), answer.status == LookAnswer::Status::OtherLife
+                    ? "another worker is at its address" : "does not answer");
+        worker->isAnswering = false;
+        worker->nextLook = now + s_failedLookDelay;
+        return;
+    }
+    if (answer.bornUnixMs && answer.bornUnixMs != worker->entry.life.bornUnixMs) {
+        if (worker->entry.life.bornUnixMs && answer.bornUnixMs < worker->entry.life.bornUnixMs)
+            return; // an answer of an earlier life came late
+        const bool isFirstAnswer = !worker->entry.life.bornUnixMs;
+        if (isFirstAnswer) {
+            worker->entry.life.bornUnixMs = answer.bornUnixMs;
+        } else {
+            const auto lost = m_workers.reborn(*worker, answer.bornUnixMs);
+            worker->isLookUnderWay = false;
+            log("worker", life.id.value(), "began another life; " + std::to_string(lost.size()) + " runs lost");
+            runsLost(life.id, lost, now);
+        }
+    }
+    if (!worker->isAnswering)
+        log("worker", life.id.value(), "answers");
+    worker->isAnswering = true;
+    worker->isFenced = true;
+    worker->lastAnswer = now;
+    worker->lease.reading(now, answer.clockMs);
+    const auto endsBefore = worker->lastEndSeen;
+    takeEnds(*worker, answer.ended, now);
+    takeRunning(*worker, answer, now);
+    paceFillers(*worker, now);
+    advanceAcknowledged(*worker);
+    if (worker->lastEndSeen > endsBefore)
+        worker->nextLook = now + s_endDelay;
+    else
+        worker->nextLook = worker->pendingEnds.empty() ? now : now + s_unstoredDelay;
+    m_mustPlace = true;
+}
+
+void Coordinator::takeEnds(Worker& worker, const std::vector<ListedEnd>& ends, TimePoint now)
+{
+    const auto id = worker.entry.life.id;
+    for (const auto& end : ends) {
+        if (end.number <= worker.lastEndSeen)
+            continue;
+        worker.lastEndSeen = end.number;
+        runOver(id, end.task, end.run, end.how, end.checkpoint, now);
+        const auto* job = m_jobs.find(end.task.job);
+        const auto version = job && job->isDirty() ? job->version : 0;
+        worker.pendingEnds.push_back({ end.number, end.task.job, version });
+    }
+}
+
+void Coordinator::takeRunning(Worker& worker, const LookAnswer& answer, TimePoint now)
+{
+    for (const auto& listed : answer.running)
+        takeRun(worker, listed, now);
+    dropForgotten(worker, answer, now);
+}
+
+void Coordinator::takeRun(Worker& worker, const ListedRun& listed, TimePoint now)
+{
+    const auto id = worker.entry.life.id;
+    auto* task = m_jobs.findTask(listed.task);
+    if (!task)
+        return;
+    auto& job = *m_jobs.find(listed.task.job);
+    const auto held = worker.runs.find(listed.task);
+    if (held == worker.runs.end() || held->second != listed.run) {
+        // A run of an earlier coordinator, or one that was given up here and started late.
+        if (held != worker.runs.end())
+            return;
+        m_workers.occupy(id, listed.task, listed.run, job.stepSpec(listed.task));
+        m_use.add(job.spec.team, job.stepSpec(listed.task).need);
+        m_confirmedAt[{ id, listed.task }] = now;
+        if (!job.isActive() || task->isDone || task->run || listed.run < task->lastRun) {
+            orderStop(id, listed.task, listed.run, now);
+            return;
+        }
+        m_jobs.runFound(listed.task, listed.run, id, now);
+    }
+    if (!task->run || task->run->number != listed.run)
+        return;
+    if (!m_stopRetries.contains({ id, listed.task }))
+        task->run->phase = ActiveRun::Phase::Running;
+    m_confirmedAt.try_emplace({ id, listed.task }, now);
+    task->run->percent = listed.percent;
+    task->run->load = listed.load;
+    if (listed.percent >= s_fullPace) {
+        task->lastAtWork = now;
+        if (task->run->atWorkSince == TimePoint())
+            task->run->atWorkSince = now;
+    }
+    if (!listed.checkpoint.empty())
+        task->checkpoint = listed.checkpoint;
+}
+
+void Coordinator::dropForgotten(Worker& worker, const LookAnswer& answer, TimePoint now)
+{
+    std::set<std::pair<TaskKey, RunNumber>> listed;
+    for (const auto& run : answer.running)
+        listed.emplace(run.task, run.run);
+    std::vector<std::pair<TaskKey, RunNumber>> gone;
+    for (const auto& [key, run] : worker.runs) {
+        const auto confirmed = m_confirmedAt.find({ worker.entry.life.id, key });
+        if (!listed.contains({ key, run }) && confirmed != m_confirmedAt.end()
+            && confirmed->second < worker.lookSentAt)
+            gone.emplace_back(key, run);
+    }
+    const auto id = worker.entry.life.id;
+    for (const auto& [key, run] : gone)
+        runOver(id, key, run, RunEnd::Lost, {}, now);
+}
+
+void Coordinator::advanceAcknowledged(Worker& worker) const
+{
+    while (!worker.pendingEnds.empty()) {
+        const auto& end = worker.pendingEnds.front();
+        const auto* job = m_jobs.find(end.job);
+        if (job && end.jobVersion > job->storedVersion)
+            return;
+        worker.acknowledged = end.number;
+        worker.pendingEnds.pop_front();
+    }
+}
+
+void Coordinator::dropLapsed(TimePoint now)
+{
+    std::vector<std::pair<WorkerId, std::map<TaskKey, RunNumber>>> lapsed;
+    for (const auto& [id, worker] : m_workers.workers()) {
+        if (worker.isAnswering || worker.runs.empty())
+            continue;
+        if (worker.lease.lapsesBy() <= now)
+            lapsed.emplace_back(id, worker.runs);
+        else
+            m_nextTick = std::min(m_nextTick, worker.lease.lapsesBy());
+    }
+    for (const auto& [id, runs] : lapsed) {
+        log("worker", id.value(), "lease lapsed; " + std::to_string(runs.size()) + " runs lost");
+        for (const auto& [key, run] : runs)
+            runOver(id, key, run, RunEnd::Lapsed, {}, now);
+    }
+}
+
+void Coordinator::paceFillers(Worker& worker, TimePoint now)
+{
+    double worst = 0;
+    bool hasTarget = false;
+    std::vector<std::pair<TaskKey, const ActiveRun*>> fillers;
+    for (const auto& [key, run] : worker.runs) {
+        const auto* task = m_jobs.findTask(key);
+        const auto* job = m_jobs.find(key.job);
+        if (!task || !task->run || task->run->number != run)
+            continue;
+        const auto& step = job->stepSpec(key);
+        if (step.tailTarget > Duration(0) && task->run->percent >= s_fullPace) {
+            hasTarget = true;
+            worst = std::max(worst,
+                static_cast<double>(task->run->load) / static_cast<double>(step.tailTarget.count()));
+        }
+        if (step.isFiller && task->run->phase == ActiveRun::Phase::Running)
+            fillers.emplace_back(key, &*task->run);
+    }
+    const auto id = worker.entry.life.id;
+    if (fillers.empty()) {
+        m_nextPace.erase(id);
+        return;
+    }
+    auto& next = m_nextPace.try_emplace(id, now).first->second;
+    if (next > now)
+        return;
+    for (const auto& [key, run] : fillers) {
+        auto percent = run->percent;
+        if (hasTarget && worst > s_paceDownAbove)
+            percent = worst > 1 ? percent / 4 : percent / 2;
+        else if (!hasTarget || worst < s_paceUpBelow)
+            percent = std::min(s_fullPace, percent + (hasTarget ? s_paceStepUp : s_fullPace));
+        if (percent == run->percent)
+            continue;
+        m_orders.emplace_back(PaceOrder { worker.entry.life, worker.entry.endpoint, key, run->number, percent });
+        next = now + s_pacePause;
+    }
+}
+
+} // namespace marigoldlink
--- /dev/null
+++ b/lib/Protocol/JobCodec.cpp
@@ -0,0 +1,153 @@
+// JSON of job records. Fields at their default are left out.
+#include "marigoldlink/Protocol/JobCodec.h"
+
+#include "marigoldlink/State/Errors.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marigoldlink {
+
+using Json = nlohmann::json;
+
+namespace {
+
+    template <typename Value> void putUnless(Json& object, const char* name, const Value& value, const Value& standard)
+    {
+        if (value != standard)
+            object[name] = value;
+    }
+
+    Json encodeStep(const StepSpec& step)
+    {
+        Json json = Json::object();
+        putUnless(json, "tasks", step.tasks, 1);
+        putUnless<std::int64_t>(json, "milli_cores", step.need.milliCores, 0);
+        putUnless<std::int64_t>(json, "memory_mb", step.need.memoryMegabytes, 0);
+        putUnless<std::int64_t>(json, "accelerators", step.need.accelerators, 0);
+        putUnless<std::int64_t>(json, "estimate_ms", step.estimate.count(), 0);
+        putUnless(json, "follows", step.after, {});
+        putUnless(json, "saves", step.savesCheckpoints, false);
+        putUnless(json, "gang", step.isGang, false);
+        putUnless(json, "one_rack", step.wantsOneRack, false);
+        putUnless<std::string>(json, "label", step.requiredLabel, "");
+        putUnless<std::string>(json, "data_rack", step.dataRack.value(), "");
+        putUnless(json, "most_per_worker", step.mostPerWorker, 0);
+        putUnless(json, "speculative", step.isSpeculative, false);
+        putUnless(json, "service", step.isService, false);
+        putUnless<std::string>(json, "image", step.image.value(), "");
+        putUnless<std::int64_t>(json, "tail_target_ms", step.tailTarget.count(), 0);
+        putUnless(json, "filler", step.isFiller, false);
+        putUnless(json, "miss", step.mayMiss, 0);
+        return json;
+    }
+
+    StepSpec decodeStep(const Json& json)
+    {
+        StepSpec step;
+        step.tasks = json.value("tasks", 1);
+        step.need = { json.value<std::int64_t>("milli_cores", 0), json.value<std::int64_t>("memory_mb", 0),
+            json.value<std::int64_t>("accelerators", 0) };
+        step.estimate = Duration(json.value<std::int64_t>("estimate_ms", 0));
+        step.after = json.value("follows", std::vector<int> {});
+        step.savesCheckpoints = json.value("saves", false);
+        step.isGang = json.value("gang", false);
+        step.wantsOneRack = json.value("one_rack", false);
+        step.requiredLabel = json.value("label", "");
+        step.dataRack = RackId(json.value("data_rack", ""));
+        step.mostPerWorker = json.value("most_per_worker", 0);
+        step.isSpeculative = json.value("speculative", false);
+        step.isService = json.value("service", false);
+        step.image = ImageId(json.value("image", ""));
+        step.tailTarget = Duration(json.value<std::int64_t>("tail_target_ms", 0));
+        step.isFiller = json.value("filler", false);
+        step.mayMiss = json.value("miss", 0);
+        return step;
+    }
+
+    // Runs the decoder and turns every fault of the JSON library into one kind of error.
+    template <typename Decoder> auto decoded(const std::string& record, const char* what, Decoder decoder)
+    {
+        try {
+            return decoder(Json::parse(record));
+        } catch (const Json::exception& error) {
+            throw Error(ErrorKind::Internal, std::string(what) + " does not parse: " + error.what());
+        }
+    }
+
+} // namespace
+
+std::string encodeJob(const JobSpec& job)
+{
+    Json json { { "queue", job.queue.value() }, { "team", job.team.value() }, { "payload", job.payload },
+        { "accepted_ms", job.acceptedUnixMs } };
+    for (const auto& step : job.steps)
+        json["steps"].push_back(encodeStep(step));
+    if (job.schedule.isTimed()) {
+        json["schedule"] = { { "occurrences", job.schedule.occurrences }, { "first_ms", job.schedule.firstUnixMs },
+            { "interval_ms", job.schedule.intervalMs } };
+    }
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+JobSpec decodeJob(const JobId& id, const std::string& record)
+{
+    return decoded(record, "a job record", [&id](const Json& json) {
+        JobSpec job;
+        job.id = id;
+        job.queue = QueueId(json.at("queue").get<std::string>());
+        job.team = TeamId(json.value("team", ""));
+        job.payload = json.value("payload", "");
+        job.acceptedUnixMs = json.value<std::int64_t>("accepted_ms", 0);
+        for (const auto& step : json.at("steps"))
+            job.steps.push_back(decodeStep(step));
+        if (const auto schedule = json.find("schedule"); schedule != json.end()) {
+            job.schedule = { schedule->value("occurrences", 0), schedule->value<std::int64_t>("first_ms", 0),
+                schedule->value<std::int64_t>("interval_ms", 0) };
+        }
+        return job;
+    });
+}
+
+std::string encodeProgress(const JobProgress& progress)
+{
+    Json json { { "state", static_cast<int>(progress.state) } };
+    if (!progress.finishedOccurrences.empty())
+        json["finished"] = progress.finishedOccurrences;
+    for (const auto& [key, task] : progress.tasks)
+        json["tasks"].push_back({ key.occurrence, key.step, key.index, task.isDone, task.failures, task.checkpoint });
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+JobProgress decodeProgress(const JobId& id, const std::string& record)
+{
+    return decoded(record, "a progress record", [&id](const Json& json) {
+        JobProgress progress;
+        const int state = json.at("state").get<int>();
+        if (state < 0 || state > static_cast<int>(JobState::Cancelled))
+            throw Error(ErrorKind::Internal, "a progress record has the unknown state " + std::to_string(state));
+        progress.state = static_cast<JobState>(state);
+        progress.finishedOccurrences = json.value("finished", std::set<int> {});
+        if (const auto tasks = json.find("tasks"); tasks != json.end()) {
+            for (const auto& row : *tasks) {
+                const TaskKey key { id, row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>() };
+                progress.tasks[key] = { row.at(3).get<bool>(), row.at(4).get<int>(), row.at(5).get<std::string>() };
+            }
+        }
+        return progress;
+    });
+}
+
+std::string encodeWave(const std::set<std::string>& finished) { return Json { { "finished", finished } }.dump(); }
+
+std::set<std::string> decodeWave(const std::string& record)
+{
+    return decoded(record, "a wave record",
+        [](const Json& json) { return json.at("finished").get<std::set<std::string>>(); });
+}
+
+std::string encodeWaveStatus(bool isComplete)
+{
+    return Json { { "state", isComplete ? "complete" : "running" } }.dump();
+}
+
+} // namespace marigoldlink
--- a/lib/Protocol/PeerCodec.cpp
+++ b/lib/Protocol/PeerCodec.cpp
@@ -1,6 +1,7 @@
 // Thrift compact encoding over a memory buffer.
 #include "marigoldlink/Protocol/PeerCodec.h"
 
+#include "marigoldlink/Protocol/Generated/Fleet_types.h"
 #include "marigoldlink/Protocol/Generated/Peer_types.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
@@ -37,6 +38,8 @@
     template std::string encodePeer(const wire::Type&);                                                                \
     template bool decodePeer(const std::string&, wire::Type&);
 
+MARIGOLD_PEER_MESSAGE(FleetCall)
+MARIGOLD_PEER_MESSAGE(FleetReply)
 MARIGOLD_PEER_MESSAGE(Heartbeat)
 MARIGOLD_PEER_MESSAGE(ConfigRequest)
 MARIGOLD_PEER_MESSAGE(ConfigReply)
--- /dev/null
+++ b/lib/State/Jobs.cpp
@@ -0,0 +1,81 @@
+// Arithmetic and names of jobs and their tasks.
+#include "marigoldlink/State/Jobs.h"
+
+namespace marigoldlink {
+
+Resources& Resources::operator+=(const Resources& other)
+{
+    milliCores += other.milliCores;
+    memoryMegabytes += other.memoryMegabytes;
+    accelerators += other.accelerators;
+    return *this;
+}
+
+Resources& Resources::operator-=(const Resources& other)
+{
+    milliCores -= other.milliCores;
+    memoryMegabytes -= other.memoryMegabytes;
+    accelerators -= other.accelerators;
+    return *this;
+}
+
+bool Resources::fitsInto(const Resources& room) const
+{
+    return milliCores <= room.milliCores && memoryMegabytes <= room.memoryMegabytes
+        && accelerators <= room.accelerators;
+}
+
+Resources StepSpec::reserved() const
+{
+    auto reserved = need;
+    if (isFiller)
+        reserved.milliCores = 0;
+    return reserved;
+}
+
+std::string TaskKey::text() const
+{
+    return job.value() + '.' + std::to_string(occurrence) + '.' + std::to_string(step) + '.' + std::to_string(index);
+}
+
+std::ostream& operator<<(std::ostream& out, const TaskKey& key) { return out << key.text(); }
+
+const char* name(JobState state)
+{
+    switch (state) {
+    case JobState::Pending:
+        return "pending";
+    case JobState::Running:
+        return "running";
+    case JobState::Complete:
+        return "complete";
+    case JobState::Failed:
+        return "failed";
+    case JobState::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+const char* name(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Done:
+        return "done";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::Lapsed:
+        return "lapsed";
+    case RunEnd::Broken:
+        return "broken";
+    case RunEnd::Alone:
+        return "alone";
+    case RunEnd::Lost:
+        return "lost";
+    }
+    return "unknown";
+}
+
+} // namespace marigoldlink
--- a/lib/Support/Settings.cpp
+++ b/lib/Support/Settings.cpp
@@ -117,6 +117,18 @@
     return fallback;
 }
 
+double Settings::number(std::string_view field, double fallback, double low, double high)
+{
+    const auto* node = m_impl->find(field);
+    if (!node)
+        return fallback;
+    const auto value = node->value<double>();
+    if (value && *value >= low && *value <= high)
+        return *value;
+    reject(field, "a number between " + std::to_string(low) + " and " + std::to_string(high));
+    return fallback;
+}
+
 void Settings::reject(std::string_view field, const std::string& accepted)
 {
     m_impl->report(m_impl->find(field), field, "accepted: " + accepted);
--- a/lib/Transport/EventLoop.cpp
+++ b/lib/Transport/EventLoop.cpp
@@ -5,17 +5,46 @@
 
 #include <algorithm>
 #include <csignal>
+#include <fcntl.h>
+#include <system_error>
+#include <unistd.h>
 
 namespace marigoldlink {
 
 namespace {
 
-    // The loop wakes at least this often, so that a signal is seen in time.
-    constexpr Duration s_longestWait { 50 };
+    // Bound of one wait; signals, sockets and timers end it sooner.
+    constexpr Duration s_longestWait { 60000 };
 
     volatile std::sig_atomic_t s_terminateRequested = 0;
+    volatile std::sig_atomic_t s_reloadRequested = 0;
+    // Write end of the pipe that wakes the loop of this process for a signal.
+    volatile int s_signalPipe = -1;
+
+    void wakeLoop()
+    {
+        const char byte = 0;
+        // A full pipe wakes the loop as well, so the result does not matter.
+        [[maybe_unused]] const auto written = ::write(s_signalPipe, &byte, 1);
+    }
+
+    void requestTermination(int)
+    {
+        s_terminateRequested = 1;
+        wakeLoop();
+    }
+
+    void requestReload(int)
+    {
+        s_reloadRequested = 1;
+        wakeLoop();
+    }
 
-    void requestTermination(int) { s_terminateRequested = 1; }
+    void discardBytes(h2o_socket_t* socket, const char* error)
+    {
+        if (!error)
+            h2o_buffer_consume(&socket->input, socket->input->size);
+    }
 
 } // namespace
 
@@ -25,6 +54,17 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
+void EventLoop::watchSignals()
+{
+    if (s_signalPipe >= 0)
+        return;
+    int ends[2];
+    if (::pipe2(ends, O_NONBLOCK | O_CLOEXEC))
+        throw std::system_error(errno, std::generic_category(), "cannot open the pipe for signals");
+    s_signalPipe = ends[1];
+    h2o_socket_read_start(h2o_evloop_socket_create(m_native, ends[0], 0), discardBytes);
+}
+
 TimePoint EventLoop::now() const { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
 
 EventLoop::Timer EventLoop::after(Duration delay, Callback callback)
@@ -45,17 +85,30 @@
 void EventLoop::onTerminate(Callback callback)
 {
     m_onTerminate = std::move(callback);
+    watchSignals();
     std::signal(SIGTERM, requestTermination);
     std::signal(SIGINT, requestTermination);
 }
 
+void EventLoop::onReload(Callback callback)
+{
+    m_onReload = std::move(callback);
+    watchSignals();
+    std::signal(SIGHUP, requestReload);
+}
+
 void EventLoop::pollSignals()
 {
-    if (!s_terminateRequested)
-        return;
-    s_terminateRequested = 0;
-    if (m_onTerminate)
-        m_onTerminate();
+    if (s_terminateRequested) {
+        s_terminateRequested = 0;
+        if (m_onTerminate)
+            m_onTerminate();
+    }
+    if (s_reloadRequested) {
+        s_reloadRequested = 0;
+        if (m_onReload)
+            m_onReload();
+    }
 }
 
 void EventLoop::runDueTimers()
--- a/lib/Transport/HttpServer.cpp
+++ b/lib/Transport/HttpServer.cpp
@@ -130,6 +130,7 @@
         incoming.path = target.substr(0, question);
         incoming.query = question == std::string_view::npos ? std::string_view() : target.substr(question + 1);
         incoming.body = view(request->entity);
+        incoming.authority = view(request->authority);
         incoming.native = request;
         (*handler.callback)(incoming, responder);
         return 0;
