An owner that may have a successor does not count on lapsed leases, and stops ordering after its grace

Ruled out: fences (each side ordered on workers of its own side). Change: lapses count only while the owner's lease is sure; orders of any kind end with the grace that a successor waits for. Test: Entry.Takeover.AnOwnerThatMayHaveASuccessor..., seen failing first.

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -58,6 +58,9 @@
     Reply look(const JobId&) const;
     Reply waiting(const QueueId&) const;
 
+    // Until this time no other coordinator can have been elected, as far as is known.
+    void setSureUntil(TimePoint time) { m_sureUntil = time; }
+
     // Answers to orders.
     void startAnswered(const WorkerLife&, const TaskKey&, RunNumber, StartAnswer, std::int64_t clockMs, TimePoint now);
     void stopAnswered(const WorkerLife&, const TaskKey&, RunNumber, StopAnswer, TimePoint now);
@@ -119,6 +122,10 @@
     void takeRun(Worker&, const ListedRun&, TimePoint now);
     void dropForgotten(Worker&, const LookAnswer&, TimePoint now);
     void advanceAcknowledged(Worker&) const;
+    // While it is not sure, another coordinator may keep runs alive on workers that this one does not reach.
+    bool isSure(TimePoint now) const { return now < m_sureUntil; }
+    // A successor counts on no order after this time, and waits for leases that were given before it.
+    bool mayOrder(TimePoint now) const { return m_sureUntil == TimePoint::max() || now < m_sureUntil + m_settings.earlierOrders; }
     void lookAtWorkers(TimePoint now);
     void dropLapsed(TimePoint now);
     void paceFillers(Worker&, TimePoint now);
@@ -132,6 +139,7 @@
     Term m_term;
     Journal m_journal;
     TimePoint m_startedAt;
+    TimePoint m_sureUntil { TimePoint::max() };
     DecisionLog m_log;
     OperatorState m_operators;
     JobBook m_jobs;
--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -60,6 +60,9 @@
     bool isReady() const { return m_isReady && !m_isStopped; }
     Coordinator& coordinator() { return m_coordinator; }
 
+    // The owner's lease was renewed, or time went by without; no other owner is possible before this time.
+    void setSureUntil(TimePoint time) { m_coordinator.setSureUntil(time); }
+
     // Runs the coordinator after calls of it, and its orders.
     void pump()
     {
--- a/include/marigoldlink/Entry/Election.h
+++ b/include/marigoldlink/Entry/Election.h
@@ -47,7 +47,7 @@
 public:
     using OnElected = std::function<void(const Ownership&)>;
     using OnLost = std::function<void()>;
-    using OnOwner = std::function<void()>; // another owner, or none, is known
+    using OnOwner = std::function<void()>; // another owner, or none, is known, or the own lease was renewed
 
     Election(EventLoop& loop, Platform& platform, Endpoint self, ElectionLimits limits, OnElected onElected,
         OnLost onLost, OnOwner onOwner)
@@ -69,7 +69,7 @@
     bool isOwner() const { return m_ownership.has_value(); }
     // True while no other process can have been elected, by the time of the last renewal that was answered.
     bool isLeaseSure() const { return m_ownership && m_loop.now() < m_renewedAt + m_limits.ttl; }
-    TimePoint renewedAt() const { return m_renewedAt; }
+    TimePoint sureUntil() const { return m_renewedAt + m_limits.ttl; }
 
     // Gives the ownership up at once, or stops standing for it.
     void retire()
@@ -187,8 +187,10 @@
                     lose();
                     return;
                 }
-                if (result.status == LeaseStatus::Valid)
+                if (result.status == LeaseStatus::Valid) {
                     m_renewedAt = sentAt;
+                    m_onOwner();
+                }
                 renewLater();
             });
         });
--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -47,7 +47,7 @@
         , m_operatorFollower(loop, platform, platform.operatorPrefix(), {}, [this](const auto&) { operatorsChanged(); })
         , m_election(
               loop, platform, m_settings.peers, {}, [this](const Ownership& ownership) { elected(ownership); },
-              [this] { dismissed(); }, [this] { retryCalls(); })
+              [this] { dismissed(); }, [this] { ownerChanged(); })
     {
     }
 
@@ -117,10 +117,18 @@
             m_loop, m_platform, m_settings.coordinator, ownership, m_log,
             [this](CallToken token, const Reply& reply) { replied(token, reply); },
             [this] { m_election.resign(); });
+        m_runner->setSureUntil(m_election.sureUntil());
         m_runner->start(m_operators);
         awaitRunner();
     }
 
+    void ownerChanged()
+    {
+        if (m_runner)
+            m_runner->setSureUntil(m_election.sureUntil());
+        retryCalls();
+    }
+
     void awaitRunner()
     {
         if (!m_runner)
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -264,7 +264,7 @@
 void Coordinator::tick(TimePoint now, std::int64_t wallMs)
 {
     m_nextTick = now + s_idleTick;
-    if (isDeposed())
+    if (isDeposed() || !mayOrder(now))
         return;
     lookAtWorkers(now);
     if (!m_isRestored)
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -243,6 +243,8 @@
 
 void Coordinator::dropLapsed(TimePoint now)
 {
+    if (!isSure(now))
+        return;
     std::vector<std::pair<WorkerId, std::map<TaskKey, RunNumber>>> lapsed;
     for (const auto& [id, worker] : m_workers.workers()) {
         if (worker.isAnswering || worker.runs.empty())
--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -89,5 +89,35 @@
         EXPECT_EQ(fleet.coordinator.jobs().find(JobId("a"))->state, JobState::Failed);
     }
 
+    // A zone cut in the bench: the owner in the zone took the workers outside for lapsed, whose tasks its successor held.
+    TEST(Takeover, AnOwnerThatMayHaveASuccessorDoesNotCountOnLapsedLeases)
+    {
+        CoordinatorHarness fleet;
+        fleet.addWorker("w1");
+        fleet.addWorker("w2");
+        fleet.run(Duration(5));
+        fleet.answerLooks();
+        fleet.coordinator.restored(fleet.now);
+        fleet.accept(CoordinatorHarness::job("a"));
+        fleet.run(Duration(5));
+        ASSERT_THAT(fleet.starts, SizeIs(1));
+        const auto worker = fleet.starts[0].worker.id.value();
+        fleet.answerStarts();
+        fleet.coordinator.setSureUntil(fleet.now + Duration(1000));
+        const auto orderedUntil = fleet.now + Duration(1000) + Duration(4000);
+        while (fleet.now < orderedUntil + Duration(3000)) {
+            fleet.run(Duration(50));
+            if (fleet.now > orderedUntil + Duration(100))
+                EXPECT_THAT(fleet.looks, IsEmpty()) << "it must not extend leases any more";
+            fleet.failLooks(worker);
+            fleet.answerLooks();
+        }
+        EXPECT_THAT(fleet.starts, IsEmpty());
+        // Once it is sure again, nobody else can have held the task.
+        fleet.coordinator.setSureUntil(TimePoint::max());
+        fleet.run(Duration(50));
+        EXPECT_THAT(fleet.starts, SizeIs(1));
+    }
+
 } // namespace
 } // namespace marigoldlink
