Pools follow demand: idle instances go where tasks wait, or to the spare pool; services are packed

Ruled out: placement order (a pool at its peak had no free processors). Change: PoolSizer, by running, waiting and arriving work.

--- /dev/null
+++ b/include/marigoldlink/Coordination/PoolSizer.h
@@ -0,0 +1,75 @@
+// Which instances stand in which pool: pools that fall short take idle instances of others, and what nobody needs goes
+// to the spare pool, where it costs nothing.
+//
+// A pool's demand is the larger of what its tasks need now, running and waiting, and what arrives in a second of work
+// for each second of time. So a burst is answered from its first arrivals on, before its queue is long.
+#pragma once
+
+#include "marigoldlink/State/Fleet.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace marigoldlink {
+
+// Work that arrives for a pool, as processors that would be busy with it all the time.
+class ArrivalRate {
+public:
+    explicit ArrivalRate(Duration memory)
+        : m_memory(memory)
+    {
+    }
+
+    // Takes the work of a job: processors times run time.
+    void add(TimePoint now, double milliCoreMilliseconds);
+    double milliCores(TimePoint now) const;
+
+private:
+    Duration m_memory;
+    TimePoint m_at;
+    double m_rate { 0 };
+};
+
+struct PoolDemand {
+    double milliCores { 0 }; // running, waiting, or arriving
+    int leastInstances { 0 }; // to spread services as they ask
+};
+
+// One instance as the sizer sees it.
+struct SizedInstance {
+    std::string id;
+    ServiceId pool;
+    double milliCores { 0 };
+    bool isMovable { false }; // up, nothing runs on it, and nothing else is planned for it
+    bool isUsable { false }; // tasks can start on it, or will once it has joined
+    TimePoint idleSince; // of a movable instance
+};
+
+struct PlannedMove {
+    std::string instance;
+    ServiceId pool;
+};
+
+class PoolSizer {
+public:
+    struct Limits {
+        double headroom { 1.15 }; // capacity for demand, as tasks do not pack without gaps
+        double keepAbove { 1.35 }; // a pool gives only what leaves it this much of its demand
+        Duration idleBeforeSpare { 1200 }; // about the time that a move and its way back are worth
+    };
+
+    explicit PoolSizer(Limits limits)
+        : m_limits(limits)
+    {
+    }
+
+    // Moves to order now. Instances on their way to a pool are to be given as usable members of it.
+    std::vector<PlannedMove> plan(const std::map<ServiceId, PoolDemand>&, const std::vector<SizedInstance>&,
+        const ServiceId& spare, TimePoint now) const;
+
+private:
+    Limits m_limits;
+};
+
+} // namespace marigoldlink
--- a/include/marigoldlink/Coordination/WorkerBook.h
+++ b/include/marigoldlink/Coordination/WorkerBook.h
@@ -20,6 +20,7 @@
     Resources reserved; // of the worker
     Resources need; // counted against the team's limit
     TeamId team;
+    bool isService { false };
 };
 
 // What one coordinator knows of one life of a worker.
@@ -29,6 +30,7 @@
     TimePoint missingSince; // of the registry entry
     Resources used; // invariant: what the runs here reserve
     std::map<TaskKey, HeldRun> runs;
+    int services { 0 }; // invariant: runs of services among them
     LeaseClock lease;
     // True once an answer to this coordinator's fence arrived. Until then an earlier coordinator's tasks may run here.
     bool isFenced { false };
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -6,6 +6,7 @@
 
 #include "marigoldlink/Coordination/JobBook.h"
 #include "marigoldlink/Coordination/Placement.h"
+#include "marigoldlink/Coordination/PoolSizer.h"
 #include "marigoldlink/Coordination/WavePlan.h"
 #include "marigoldlink/Coordination/WorkerBook.h"
 #include "marigoldlink/Entry/Orders.h"
@@ -135,7 +136,14 @@
     void paceFillers(Worker&, TimePoint now);
 
     // Instances.
+    void listInstances(TimePoint now);
     void runWaves(TimePoint now);
+    void sizePools(TimePoint now);
+    std::map<ServiceId, PoolDemand> poolDemands(TimePoint now) const;
+    SizedInstance sized(const FleetInstance&, TimePoint now) const;
+    void maintained(FleetInstance&, TimePoint now);
+    void moved(FleetInstance&, const ServiceId& pool, TimePoint now);
+    void workerEnded(const FleetInstance&, TimePoint now);
     WaveLoad waveLoad(const std::string& instance, TimePoint now) const;
     int awayTasks(const Job&, const Occurrence&, int step, TimePoint now) const;
 
@@ -163,6 +171,17 @@
     TimePoint m_nextList;
     bool m_isListing { false };
     std::set<std::string> m_maintenanceUnderWay; // calls without an answer yet
+    PoolSizer m_sizer { {} };
+    std::map<ServiceId, ArrivalRate> m_arrivals;
+    struct Move {
+        ServiceId pool;
+        TimePoint since;
+        bool isAccepted { false };
+    };
+    // Instances on their way, until the list shows them up in their new pool.
+    std::map<std::string, Move> m_moves;
+    std::map<std::string, TimePoint> m_idleSince; // of instances without runs
+    TimePoint m_nextSizing;
 
     TimePoint m_nextFlush;
     TimePoint m_nextWaveStep;
--- a/lib/Coordination/Placement.cpp
+++ b/lib/Coordination/Placement.cpp
@@ -144,6 +144,8 @@
         return chosen;
     }
 
+    static bool hasService(const Row& row) { return row.worker->services > 0 || !row.planned.empty(); }
+
     double costOf(const Row& row, const StepSpec& spec, const ReadyStep& step) const
     {
         double cost = 0;
@@ -154,12 +156,11 @@
         cost += 20 * row.worker->recentFailures;
         const auto capacity = static_cast<double>(std::max<std::int64_t>(1, row.worker->entry.capacity.milliCores));
         const auto free = static_cast<double>(row.room.milliCores) / capacity;
-        // Services are spread, so that the loss of one worker takes few of them. Other work is packed, which leaves
-        // whole workers free for wide tasks and for other pools.
+        // Both are packed, which leaves whole workers free for wide tasks and for other pools. Tasks of one service
+        // stay apart, so that the loss of one worker takes few of them, and so do its racks.
         if (spec.isService)
-            cost += ofStep(row, step) * 5 + static_cast<double>(row.worker->runs.size());
-        else
-            cost += free;
+            cost += ofStep(row, step) * 5 + (hasService(row) ? 0 : 2);
+        cost += free;
         return cost;
     }
 };
--- a/lib/Coordination/WorkerBook.cpp
+++ b/lib/Coordination/WorkerBook.cpp
@@ -70,6 +70,7 @@
     if (!worker->runs.emplace(key, run).second)
         return;
     worker->used += run.reserved;
+    worker->services += run.isService;
     ++worker->tasksByStep[{ key.job, key.occurrence, key.step }];
 }
 
@@ -82,6 +83,7 @@
     if (found == worker->runs.end() || found->second.number != run)
         return;
     worker->used -= found->second.reserved;
+    worker->services -= found->second.isService;
     worker->runs.erase(found);
     const auto counted = worker->tasksByStep.find({ key.job, key.occurrence, key.step });
     if (counted != worker->tasksByStep.end() && --counted->second == 0)
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -22,6 +22,42 @@
     // not known here has a lower number.
     constexpr std::int64_t s_runsPerTerm = 1000;
 
+    // Bursts last some seconds; a shorter memory follows single jobs.
+    constexpr Duration s_arrivalMemory { 800 };
+
+    // Processors times run time, by the caller's estimates. Services are left out.
+    double workOf(const JobSpec& spec)
+    {
+        double work = 0;
+        for (const auto& step : spec.steps) {
+            if (!step.isService)
+                work += static_cast<double>(step.tasks) * static_cast<double>(step.reserved().milliCores)
+                    * static_cast<double>(step.estimate.count());
+        }
+        return work;
+    }
+
+    // The steps of a job for the log: tasks, processors and memory of each, and what sets it apart.
+    std::string summary(const JobSpec& spec)
+    {
+        std::string text;
+        for (const auto& step : spec.steps) {
+            text += (text.empty() ? "" : ", ") + std::to_string(step.tasks) + " x " + std::to_string(step.need.milliCores)
+                + " m" + std::to_string(step.need.memoryMegabytes);
+            if (step.isService)
+                text += " service";
+            if (step.isFiller)
+                text += " filler";
+            if (step.mostPerWorker)
+                text += " spread " + std::to_string(step.mostPerWorker);
+            if (step.mayMiss)
+                text += " may miss " + std::to_string(step.mayMiss);
+            if (step.tailTarget > Duration(0))
+                text += " target " + std::to_string(step.tailTarget.count()) + " ms";
+        }
+        return text;
+    }
+
 } // namespace
 
 Coordinator::Coordinator(
@@ -105,6 +141,9 @@
     auto& job = m_jobs.accept(std::move(spec), queue, now);
     ++job.version;
     m_unwritten.insert(id);
+    if (!job.spec.schedule.isTimed())
+        m_arrivals.try_emplace(job.queue.service, s_arrivalMemory).first->second.add(now, workOf(job.spec));
+    log("job", id.value(), "submitted to " + job.spec.queue.value() + " by " + job.spec.team.value() + ": " + summary(job.spec));
     m_replies[id].push_back({ token, job.version, { Reply::Kind::Accepted, {}, 0, {} } });
     m_nextFlush = std::min(m_nextFlush, now + s_submissionDelay);
     m_nextTick = std::min(m_nextTick, now + s_submissionDelay);
@@ -305,7 +344,9 @@
     for (const auto& [key, at] : m_stopRetries)
         m_nextTick = std::min(m_nextTick, std::max(at, now + Duration(1)));
     stopLoneGangs(now);
+    listInstances(now);
     runWaves(now);
+    sizePools(now);
     placeTasks(now);
     if (m_nextForget <= now)
         forgetOldJobs(now);
--- /dev/null
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -0,0 +1,120 @@
+// Sizes of the pools: demand of each, and moves of instances.
+#include "marigoldlink/Entry/Coordinator.h"
+
+#include <algorithm>
+
+namespace marigoldlink {
+
+namespace {
+
+    constexpr Duration s_sizingStep { 100 };
+    // The list shows a move that was accepted after at most so much more than the move itself takes.
+    constexpr Duration s_listLag { 1500 };
+
+} // namespace
+
+std::map<ServiceId, PoolDemand> Coordinator::poolDemands(TimePoint now) const
+{
+    std::map<ServiceId, PoolDemand> demands;
+    for (const auto& [id, pool] : m_operators.config.pools)
+        demands[id];
+    for (const auto& id : m_jobs.activeJobs()) {
+        const auto& job = *m_jobs.find(id);
+        auto& demand = demands[job.queue.service];
+        for (const auto& [number, occurrence] : job.occurrences) {
+            if (job.finishedOccurrences.contains(number))
+                continue;
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                const auto& step = occurrence.steps[i];
+                const auto& spec = job.spec.steps[i];
+                if (!step.active && !m_jobs.isStepReady(job, occurrence, static_cast<int>(i)))
+                    continue;
+                const auto open = static_cast<int>(step.tasks.size()) - step.done;
+                demand.milliCores += static_cast<double>(open) * static_cast<double>(spec.reserved().milliCores);
+                if (spec.isService && spec.mostPerWorker) {
+                    const int hosts = (spec.tasks + spec.mostPerWorker - 1) / spec.mostPerWorker;
+                    demand.leastInstances = std::max(demand.leastInstances, hosts + 1);
+                }
+            }
+        }
+    }
+    for (const auto& [id, rate] : m_arrivals) {
+        auto& demand = demands[id];
+        demand.milliCores = std::max(demand.milliCores, rate.milliCores(now));
+        demand.leastInstances = std::max(demand.leastInstances, 1);
+    }
+    return demands;
+}
+
+SizedInstance Coordinator::sized(const FleetInstance& instance, TimePoint now) const
+{
+    SizedInstance row;
+    row.id = instance.id;
+    row.pool = instance.pool;
+    row.milliCores = static_cast<double>(instance.capacity.milliCores);
+    if (const auto move = m_moves.find(instance.id); move != m_moves.end()) {
+        row.pool = move->second.pool;
+        row.isUsable = true;
+        return row;
+    }
+    const bool isEvacuated = m_operators.evacuated.contains(instance.dataCenter);
+    const auto* worker = m_workers.find(instance.worker);
+    const auto pool = m_operators.config.pools.find(instance.pool);
+    const bool isSpare = pool != m_operators.config.pools.end() && pool->second.isSpare;
+    if (instance.state != InstanceState::Up || m_waves.isAway(instance.id) || m_waves.reserved().contains(instance.id))
+        return row;
+    row.isUsable = !isEvacuated && worker && isUsable(*worker, now);
+    // A worker that does not answer, or is about to leave, does not gain by a move.
+    const bool isSound = isSpare || (worker && worker->isAnswering && !worker->entry.isDraining);
+    const auto idle = m_idleSince.find(instance.id);
+    row.isMovable = isSound && !isEvacuated && idle != m_idleSince.end();
+    row.idleSince = row.isMovable ? idle->second : now;
+    return row;
+}
+
+void Coordinator::sizePools(TimePoint now)
+{
+    m_nextTick = std::min(m_nextTick, std::max(m_nextSizing, now + Duration(1)));
+    if (m_nextSizing > now)
+        return;
+    m_nextSizing = now + s_sizingStep;
+    if (!isSure(now) || m_instances.empty())
+        return;
+    std::erase_if(m_moves, [&](const auto& entry) {
+        const auto found = m_instances.find(entry.first);
+        if (found == m_instances.end())
+            return true;
+        const bool hasArrived = found->second.pool == entry.second.pool && found->second.state == InstanceState::Up;
+        const auto age = now - entry.second.since;
+        return (hasArrived && age > m_settings.moveTime) || age > m_settings.moveTime + s_listLag;
+    });
+    const auto* spare = m_operators.config.sparePool();
+    std::vector<SizedInstance> instances;
+    for (const auto& [id, instance] : m_instances) {
+        const auto* worker = m_workers.find(instance.worker);
+        if (worker && !worker->runs.empty())
+            m_idleSince.erase(id);
+        else
+            m_idleSince.try_emplace(id, now);
+        instances.push_back(sized(instance, now));
+    }
+    for (const auto& move : m_sizer.plan(poolDemands(now), instances, spare ? spare->id : ServiceId(), now)) {
+        log("instance", move.instance,
+            "moves from " + m_instances.at(move.instance).pool.value() + " to " + move.pool.value());
+        m_moves[move.instance] = { move.pool, now, false };
+        if (auto* worker = m_workers.find(m_instances.at(move.instance).worker))
+            worker->isReserved = true;
+        m_orders.emplace_back(MoveOrder { move.instance, move.pool });
+    }
+}
+
+void Coordinator::moved(FleetInstance& instance, const ServiceId& pool, TimePoint now)
+{
+    workerEnded(instance, now);
+    instance.state = InstanceState::Moving;
+    instance.pool = pool;
+    m_moves[instance.id].isAccepted = true;
+    m_moves[instance.id].since = now;
+}
+
+} // namespace marigoldlink
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -67,9 +67,10 @@
 void Coordinator::occupy(const WorkerId& id, const TaskKey& key, RunNumber run)
 {
     const auto* job = m_jobs.find(key.job);
-    HeldRun held { run, {}, {}, {} };
+    HeldRun held { run, {}, {}, {}, false };
     if (job && key.step < static_cast<int>(job->spec.steps.size())) {
-        held = { run, job->stepSpec(key).reserved(), job->stepSpec(key).need, job->spec.team };
+        const auto& step = job->stepSpec(key);
+        held = { run, step.reserved(), step.need, job->spec.team, step.isService };
     } else {
         // Nothing is known of its size, so it counts as all that is left.
         held.reserved = m_workers.find(id)->room();
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -10,8 +10,9 @@
     constexpr Duration s_waveStep { 100 };
     // A call of an earlier coordinator may still be on its way for this long.
     constexpr Duration s_settleSlack { 500 };
-    // The instance list is read this often while a wave is under way.
     constexpr Duration s_listPeriod { 500 };
+    // What an accepted call changed is written with what follows in this time.
+    constexpr Duration s_recordDelay { 20 };
 
 } // namespace
 
@@ -68,6 +69,14 @@
     return load;
 }
 
+void Coordinator::listInstances(TimePoint now)
+{
+    if (m_isListing || m_nextList > now)
+        return;
+    m_isListing = true;
+    m_orders.emplace_back(ListInstancesOrder {});
+}
+
 void Coordinator::runWaves(TimePoint now)
 {
     if (!m_waves.hasWork()) {
@@ -75,10 +84,6 @@
             worker.isReserved = false;
         return;
     }
-    if (!m_isListing && m_nextList <= now) {
-        m_isListing = true;
-        m_orders.emplace_back(ListInstancesOrder {});
-    }
     m_nextTick = std::min(m_nextTick, std::max(m_nextWaveStep, now + Duration(1)));
     if (m_nextWaveStep > now)
         return;
@@ -94,7 +99,7 @@
         m_instances, [this, now](const std::string& instance) { return waveLoad(instance, now); }, now);
     for (const auto& step : steps) {
         const bool isRepeated = m_waves.isAway(step.instance);
-        if (m_maintenanceUnderWay.contains(step.instance)
+        if (m_maintenanceUnderWay.contains(step.instance) || m_moves.contains(step.instance)
             || (!isRepeated && !waveLoad(step.instance, now).mayEndServices))
             continue;
         m_waves.begun(step.wave, step.instance, now);
@@ -123,34 +128,52 @@
 
 void Coordinator::instanceAnswered(const std::string& instance, InstanceAnswer answer, TimePoint now)
 {
-    m_maintenanceUnderWay.erase(instance);
     m_nextTick = now;
-    const auto found = m_instances.find(instance);
+    const bool isMove = m_moves.contains(instance);
+    m_maintenanceUnderWay.erase(instance);
     if (answer == InstanceAnswer::StaleFence) {
         m_isDeposed = true;
         log("coordinator", std::to_string(m_term.fence), "deposed: instance " + instance + " has a higher fence");
         return;
     }
-    if (answer == InstanceAnswer::Unknown) {
-        m_waves.unanswered(instance, now);
+    const auto found = m_instances.find(instance);
+    if (answer == InstanceAnswer::Done) {
+        if (isMove && found != m_instances.end())
+            moved(found->second, m_moves.at(instance).pool, now);
+        else if (!isMove)
+            m_waves.accepted(instance, now);
+        if (!isMove && found != m_instances.end())
+            maintained(found->second, now);
+        m_nextFlush = std::min(m_nextFlush, now + s_recordDelay);
         return;
     }
-    if (answer != InstanceAnswer::Done) {
-        log("instance", instance, "maintenance refused, kind " + std::to_string(static_cast<int>(answer)));
+    log("instance", instance, std::string(isMove ? "move" : "maintenance") + " not done, kind "
+            + std::to_string(static_cast<int>(answer)));
+    if (isMove) {
+        // After an unknown answer the list tells; until then it stays on its way.
+        if (answer != InstanceAnswer::Unknown)
+            m_moves.erase(instance);
+    } else if (answer == InstanceAnswer::Unknown) {
+        m_waves.unanswered(instance, now);
+    } else {
         m_waves.rejected(instance, now);
-        return;
     }
-    m_waves.accepted(instance, now);
-    m_nextFlush = std::min(m_nextFlush, now + Duration(20));
-    if (found == m_instances.end())
+}
+
+void Coordinator::maintained(FleetInstance& instance, TimePoint now)
+{
+    instance.state = InstanceState::Upkeep;
+    workerEnded(instance, now);
+}
+
+void Coordinator::workerEnded(const FleetInstance& instance, TimePoint now)
+{
+    auto* worker = m_workers.find(instance.worker);
+    if (!worker)
         return;
-    found->second.state = InstanceState::Upkeep;
-    const auto worker = found->second.worker;
-    if (auto* known = m_workers.find(worker)) {
-        for (const auto& [key, run] : std::map(known->runs))
-            runOver(worker, key, run.number, RunEnd::Lost, {}, now);
-        forgetWorker(worker); // another worker comes with the instance
-    }
+    for (const auto& [key, run] : std::map(worker->runs))
+        runOver(instance.worker, key, run.number, RunEnd::Lost, {}, now);
+    forgetWorker(instance.worker); // another worker comes with the instance
 }
 
 } // namespace marigoldlink
