Services leave instances due for maintenance one task at a time; pool report in the log

Ruled out: room elsewhere (pools had idle hosts). Change: on a host kept for its wave, each service's task is stopped as soon as the others are at work, and new ones avoid hosts that are still due.

--- a/include/marigoldlink/Coordination/WavePlan.h
+++ b/include/marigoldlink/Coordination/WavePlan.h
@@ -62,6 +62,8 @@
     const std::set<std::string>& reserved() const { return m_reserved; }
     bool isAway(const std::string& instance) const { return m_away.contains(instance); }
     bool hasWork() const;
+    // Whether some wave still has to come to the instance.
+    bool isDue(const std::string& instance) const;
 
     // Waves whose record or state has changed since the last call.
     struct Change {
--- a/include/marigoldlink/Coordination/WorkerBook.h
+++ b/include/marigoldlink/Coordination/WorkerBook.h
@@ -59,6 +59,7 @@
     // True once the store holds the worker's record, by which a successor finds it even if it leaves the registry.
     // Nothing is started on it before.
     bool isRecorded { false };
+    bool isDueForMaintenance { false }; // in a wave that has not come to it
     bool isReserved { false }; // kept free for maintenance or a move: nothing is started here
     std::map<std::tuple<JobId, int, int>, int> tasksByStep; // of job, occurrence and step
 
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -138,8 +138,11 @@
     // Instances.
     void listInstances(TimePoint now);
     void runWaves(TimePoint now);
+    // Stops the services on a worker that is kept free, as far as each can spare a task.
+    void drainServices(Worker&, TimePoint now);
     void sizePools(TimePoint now);
     std::map<ServiceId, PoolDemand> poolDemands(TimePoint now) const;
+    void reportPools(const std::map<ServiceId, PoolDemand>&, const std::vector<SizedInstance>&) const;
     SizedInstance sized(const FleetInstance&, TimePoint now) const;
     void maintained(FleetInstance&, TimePoint now);
     void moved(FleetInstance&, const ServiceId& pool, TimePoint now);
@@ -182,6 +185,7 @@
     std::map<std::string, Move> m_moves;
     std::map<std::string, TimePoint> m_idleSince; // of instances without runs
     TimePoint m_nextSizing;
+    TimePoint m_nextPoolReport;
 
     TimePoint m_nextFlush;
     TimePoint m_nextWaveStep;
--- a/lib/Coordination/Placement.cpp
+++ b/lib/Coordination/Placement.cpp
@@ -159,7 +159,7 @@
         // Both are packed, which leaves whole workers free for wide tasks and for other pools. Tasks of one service
         // stay apart, so that the loss of one worker takes few of them, and so do its racks.
         if (spec.isService)
-            cost += ofStep(row, step) * 5 + (hasService(row) ? 0 : 2);
+            cost += ofStep(row, step) * 5 + (hasService(row) ? 0 : 2) + (row.worker->isDueForMaintenance ? 4 : 0);
         cost += free;
         return cost;
     }
--- a/lib/Coordination/WavePlan.cpp
+++ b/lib/Coordination/WavePlan.cpp
@@ -148,6 +148,16 @@
         [](const auto& entry) { return entry.second.isKnown && !entry.second.isComplete; });
 }
 
+bool WavePlan::isDue(const std::string& instance) const
+{
+    return std::any_of(m_waves.begin(), m_waves.end(), [&instance](const auto& entry) {
+        const auto& state = entry.second;
+        return state.isKnown && !state.isComplete && !state.finished.contains(instance)
+            && std::find(state.wave.instances.begin(), state.wave.instances.end(), instance)
+            != state.wave.instances.end();
+    });
+}
+
 std::vector<WavePlan::Change> WavePlan::takeChanges()
 {
     std::vector<Change> changes;
--- a/lib/Entry/CoordinatorPools.cpp
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -2,12 +2,14 @@
 #include "marigoldlink/Entry/Coordinator.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace marigoldlink {
 
 namespace {
 
     constexpr Duration s_sizingStep { 100 };
+    constexpr Duration s_reportPeriod { 1000 };
     // The list shows a move that was accepted after at most so much more than the move itself takes.
     constexpr Duration s_listLag { 1500 };
 
@@ -72,6 +74,29 @@
     return row;
 }
 
+void Coordinator::reportPools(
+    const std::map<ServiceId, PoolDemand>& demands, const std::vector<SizedInstance>& instances) const
+{
+    std::string text;
+    for (const auto& [id, demand] : demands) {
+        double capacity = 0;
+        double used = 0;
+        int count = 0;
+        for (const auto& row : instances) {
+            if (row.pool != id)
+                continue;
+            ++count;
+            capacity += row.isUsable ? row.milliCores : 0;
+            const auto* worker = m_workers.find(m_instances.at(row.id).worker);
+            used += worker ? static_cast<double>(worker->used.milliCores) : 0;
+        }
+        const auto cores = [](double milliCores) { return std::to_string(std::lround(milliCores / 1000)); };
+        text += (text.empty() ? "" : "; ") + id.value() + ' ' + std::to_string(count) + " instances, cores "
+            + cores(capacity) + " usable, " + cores(used) + " used, " + cores(demand.milliCores) + " asked";
+    }
+    log("coordinator", std::to_string(m_term.fence), text);
+}
+
 void Coordinator::sizePools(TimePoint now)
 {
     m_nextTick = std::min(m_nextTick, std::max(m_nextSizing, now + Duration(1)));
@@ -98,7 +123,12 @@
             m_idleSince.try_emplace(id, now);
         instances.push_back(sized(instance, now));
     }
-    for (const auto& move : m_sizer.plan(poolDemands(now), instances, spare ? spare->id : ServiceId(), now)) {
+    const auto demands = poolDemands(now);
+    if (m_nextPoolReport <= now) {
+        m_nextPoolReport = now + s_reportPeriod;
+        reportPools(demands, instances);
+    }
+    for (const auto& move : m_sizer.plan(demands, instances, spare ? spare->id : ServiceId(), now)) {
         log("instance", move.instance,
             "moves from " + m_instances.at(move.instance).pool.value() + " to " + move.pool.value());
         m_moves[move.instance] = { move.pool, now, false };
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -117,12 +117,35 @@
                 task->run->phase = ActiveRun::Phase::Stopping;
         }
     }
-    for (auto& [id, worker] : m_workers.workers())
+    for (auto& [id, worker] : m_workers.workers()) {
         worker.isReserved = false;
+        worker.isDueForMaintenance = false;
+    }
     for (const auto& [id, instance] : m_instances) {
         auto* worker = m_workers.find(instance.worker);
-        if (worker && (m_waves.reserved().contains(id) || m_waves.isAway(id)))
-            worker->isReserved = true;
+        if (!worker)
+            continue;
+        worker->isReserved = m_waves.reserved().contains(id) || m_waves.isAway(id) || m_moves.contains(id);
+        worker->isDueForMaintenance = m_waves.isDue(id);
+        if (m_waves.reserved().contains(id) && !m_waves.isAway(id))
+            drainServices(*worker, now);
+    }
+}
+
+void Coordinator::drainServices(Worker& worker, TimePoint now)
+{
+    for (const auto& [key, run] : std::map(worker.runs)) {
+        const auto* job = m_jobs.find(key.job);
+        const auto* task = m_jobs.findTask(key);
+        if (!run.isService || !job || !job->isActive() || !task || !task->run || task->run->number != run.number
+            || task->run->phase != ActiveRun::Phase::Running)
+            continue;
+        const auto& spec = job->stepSpec(key);
+        const int away = awayTasks(*job, job->occurrences.at(key.occurrence), key.step, now);
+        if (spec.mayMiss > 0 && (away >= spec.mayMiss || task->run->percent < 100))
+            continue;
+        log("task", key.text(), "leaves " + worker.entry.life.id.value() + " for maintenance");
+        orderStop(worker.entry.life.id, key, run.number, now);
     }
 }
 
