Forecast of arrivals as a lower bound of what joins in time; a smaller base; sooner back to the spare pool

Ruled out: the list's lag. Change: arrivals count with their work within one move, less a standard deviation; idle hosts leave after 0.6 s; services keep just the hosts that their spread asks for.

--- a/include/marigoldlink/Coordination/PoolSizer.h
+++ b/include/marigoldlink/Coordination/PoolSizer.h
@@ -1,8 +1,8 @@
 // Which instances stand in which pool: pools that fall short take idle instances of others, and what nobody needs goes
 // to the spare pool, where it costs nothing.
 //
-// A pool's demand is the larger of what its tasks need now, running and waiting, and what arrives in a second of work
-// for each second of time. So a burst is answered from its first arrivals on, before its queue is long.
+// A pool's demand is the larger of what its tasks need now, running and waiting, and what the arrivals let expect by the
+// time an instance could join. So a burst is answered from its first arrivals on, before its queue is long.
 #pragma once
 
 #include "marigoldlink/State/Fleet.h"
@@ -13,22 +13,27 @@
 
 namespace marigoldlink {
 
-// Work that arrives for a pool, as processors that would be busy with it all the time.
-class ArrivalRate {
+// Processors that will be in use by jobs that arrive within the time an instance needs to join.
+//
+// Each arrival counts with the work that it can do in that time. A few large arrivals say little about what follows, so
+// the estimate is a lower bound: the sum of the recent arrivals less its standard deviation, as if they came at random.
+class ArrivalForecast {
 public:
-    explicit ArrivalRate(Duration memory)
+    explicit ArrivalForecast(Duration memory)
         : m_memory(memory)
     {
     }
 
-    // Takes the work of a job: processors times run time.
     void add(TimePoint now, double milliCoreMilliseconds);
     double milliCores(TimePoint now) const;
 
 private:
+    double fade(TimePoint now) const;
+
     Duration m_memory;
     TimePoint m_at;
-    double m_rate { 0 };
+    double m_sum { 0 };
+    double m_sumOfSquares { 0 };
 };
 
 struct PoolDemand {
@@ -55,8 +60,8 @@
 public:
     struct Limits {
         double headroom { 1.15 }; // capacity for demand, as tasks do not pack without gaps
-        double keepAbove { 1.35 }; // a pool gives only what leaves it this much of its demand
-        Duration idleBeforeSpare { 1200 }; // about the time that a move and its way back are worth
+        double keepAbove { 1.25 }; // a pool gives only what leaves it this much of its demand
+        Duration idleBeforeSpare { 600 }; // half of what a move costs, which the next burst pays again
     };
 
     explicit PoolSizer(Limits limits)
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -175,7 +175,7 @@
     bool m_isListing { false };
     std::set<std::string> m_maintenanceUnderWay; // calls without an answer yet
     PoolSizer m_sizer { {} };
-    std::map<ServiceId, ArrivalRate> m_arrivals;
+    std::map<ServiceId, ArrivalForecast> m_arrivals;
     struct Move {
         ServiceId pool;
         TimePoint since;
--- a/lib/Coordination/PoolSizer.cpp
+++ b/lib/Coordination/PoolSizer.cpp
@@ -1,4 +1,4 @@
-// Arrival rates and the choice of moves.
+// Forecast of arrivals and the choice of moves.
 #include "marigoldlink/Coordination/PoolSizer.h"
 
 #include <algorithm>
@@ -7,16 +7,23 @@
 
 namespace marigoldlink {
 
-void ArrivalRate::add(TimePoint now, double milliCoreMilliseconds)
+double ArrivalForecast::fade(TimePoint now) const
 {
-    m_rate = milliCores(now) + milliCoreMilliseconds / static_cast<double>(m_memory.count());
+    return std::exp(-static_cast<double>((now - m_at).count()) / static_cast<double>(m_memory.count()));
+}
+
+void ArrivalForecast::add(TimePoint now, double milliCoreMilliseconds)
+{
+    const auto remaining = fade(now);
+    const auto milliCores = milliCoreMilliseconds / static_cast<double>(m_memory.count());
+    m_sum = m_sum * remaining + milliCores;
+    m_sumOfSquares = m_sumOfSquares * remaining * remaining + milliCores * milliCores;
     m_at = now;
 }
 
-double ArrivalRate::milliCores(TimePoint now) const
+double ArrivalForecast::milliCores(TimePoint now) const
 {
-    const auto age = static_cast<double>((now - m_at).count()) / static_cast<double>(m_memory.count());
-    return m_rate * std::exp(-age);
+    return std::max(0.0, m_sum - std::sqrt(m_sumOfSquares)) * fade(now);
 }
 
 namespace {
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -24,15 +24,23 @@
 
     // Bursts last some seconds; a shorter memory follows single jobs.
     constexpr Duration s_arrivalMemory { 800 };
+    // From the end of a move to the first start: registry, first look, record.
+    constexpr Duration s_joinTime { 300 };
 
-    // Processors times run time, by the caller's estimates. Services are left out.
-    double workOf(const JobSpec& spec)
+    // Work that a job can do in the time from its start on, by the caller's estimates. Services are left out.
+    double workWithin(Duration time, const JobSpec& spec)
     {
         double work = 0;
+        std::vector<Duration> endOf;
         for (const auto& step : spec.steps) {
+            Duration begin { 0 };
+            for (const int earlier : step.after)
+                begin = std::max(begin, endOf[static_cast<std::size_t>(earlier)]);
+            endOf.push_back(begin + step.estimate);
+            const auto within = std::clamp(time - begin, Duration(0), step.estimate);
             if (!step.isService)
                 work += static_cast<double>(step.tasks) * static_cast<double>(step.reserved().milliCores)
-                    * static_cast<double>(step.estimate.count());
+                    * static_cast<double>(within.count());
         }
         return work;
     }
@@ -142,7 +150,8 @@
     ++job.version;
     m_unwritten.insert(id);
     if (!job.spec.schedule.isTimed())
-        m_arrivals.try_emplace(job.queue.service, s_arrivalMemory).first->second.add(now, workOf(job.spec));
+        m_arrivals.try_emplace(job.queue.service, s_arrivalMemory).first->second.add(
+            now, workWithin(m_settings.moveTime + s_joinTime, job.spec));
     log("job", id.value(), "submitted to " + job.spec.queue.value() + " by " + job.spec.team.value() + ": " + summary(job.spec));
     m_replies[id].push_back({ token, job.version, { Reply::Kind::Accepted, {}, 0, {} } });
     m_nextFlush = std::min(m_nextFlush, now + s_submissionDelay);
--- a/lib/Entry/CoordinatorPools.cpp
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -35,7 +35,7 @@
                 demand.milliCores += static_cast<double>(open) * static_cast<double>(spec.reserved().milliCores);
                 if (spec.isService && spec.mostPerWorker) {
                     const int hosts = (spec.tasks + spec.mostPerWorker - 1) / spec.mostPerWorker;
-                    demand.leastInstances = std::max(demand.leastInstances, hosts + 1);
+                    demand.leastInstances = std::max(demand.leastInstances, hosts);
                 }
             }
         }
