--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -141,6 +141,8 @@
     // Stops the services on a worker that is kept free, as far as each can spare a task.
     void drainServices(Worker&, TimePoint now);
     void sizePools(TimePoint now);
+    double occurrenceDemand(const Job&, const Occurrence&) const;
+    bool followsOpenSteps(const Job&, const Occurrence&, const StepSpec&) const;
     std::map<ServiceId, PoolDemand> poolDemands(TimePoint now) const;
     void reportPools(const std::map<ServiceId, PoolDemand>&, const std::vector<SizedInstance>&) const;
     SizedInstance sized(const FleetInstance&, TimePoint now) const;
--- a/lib/Coordination/PoolSizer.cpp
+++ b/lib/Coordination/PoolSizer.cpp
@@ -7,6 +7,14 @@
 
 namespace marigoldlink {
 
+namespace {
+
+    // Standard deviations that the forecast stays below the sum. An instance that comes in vain costs a few seconds of
+    // itself; one that comes late costs the worth of all that waits.
+    constexpr double s_caution = 0.5;
+
+} // namespace
+
 double ArrivalForecast::fade(TimePoint now) const
 {
     return std::exp(-static_cast<double>((now - m_at).count()) / static_cast<double>(m_memory.count()));
@@ -23,7 +31,7 @@
 
 double ArrivalForecast::milliCores(TimePoint now) const
 {
-    return std::max(0.0, m_sum - std::sqrt(m_sumOfSquares)) * fade(now);
+    return std::max(0.0, m_sum - s_caution * std::sqrt(m_sumOfSquares)) * fade(now);
 }
 
 namespace {
--- a/lib/Entry/CoordinatorPools.cpp
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -15,6 +15,32 @@
 
 } // namespace
 
+double Coordinator::occurrenceDemand(const Job& job, const Occurrence& occurrence) const
+{
+    // What is ready or runs, or what comes after it if that is more: it is due before an instance could join.
+    double now = 0;
+    double next = 0;
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+        const auto& step = occurrence.steps[i];
+        const auto& spec = job.spec.steps[i];
+        const auto open = static_cast<int>(step.tasks.size()) - step.done;
+        const auto milliCores = static_cast<double>(open) * static_cast<double>(spec.reserved().milliCores);
+        if (step.active || m_jobs.isStepReady(job, occurrence, static_cast<int>(i)))
+            now += milliCores;
+        else if (followsOpenSteps(job, occurrence, spec))
+            next += milliCores;
+    }
+    return std::max(now, next);
+}
+
+bool Coordinator::followsOpenSteps(const Job& job, const Occurrence& occurrence, const StepSpec& spec) const
+{
+    return std::all_of(spec.after.begin(), spec.after.end(), [&](int earlier) {
+        const auto& before = occurrence.steps[static_cast<std::size_t>(earlier)];
+        return before.active || m_jobs.isStepReady(job, occurrence, earlier);
+    });
+}
+
 std::map<ServiceId, PoolDemand> Coordinator::poolDemands(TimePoint now) const
 {
     std::map<ServiceId, PoolDemand> demands;
@@ -26,17 +52,12 @@
         for (const auto& [number, occurrence] : job.occurrences) {
             if (job.finishedOccurrences.contains(number))
                 continue;
-            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-                const auto& step = occurrence.steps[i];
-                const auto& spec = job.spec.steps[i];
-                if (!step.active && !m_jobs.isStepReady(job, occurrence, static_cast<int>(i)))
+            demand.milliCores += occurrenceDemand(job, occurrence);
+            for (const auto& spec : job.spec.steps) {
+                if (!spec.isService || !spec.mostPerWorker)
                     continue;
-                const auto open = static_cast<int>(step.tasks.size()) - step.done;
-                demand.milliCores += static_cast<double>(open) * static_cast<double>(spec.reserved().milliCores);
-                if (spec.isService && spec.mostPerWorker) {
-                    const int hosts = (spec.tasks + spec.mostPerWorker - 1) / spec.mostPerWorker;
-                    demand.leastInstances = std::max(demand.leastInstances, hosts);
-                }
+                const int hosts = (spec.tasks + spec.mostPerWorker - 1) / spec.mostPerWorker;
+                demand.leastInstances = std::max(demand.leastInstances, hosts);
             }
         }
     }
