--- a/idl/Fleet.thrift
+++ b/idl/Fleet.thrift
@@ -15,3 +15,23 @@
   3: i64 waiting
   4: i64 retryAfterMs
 }
+
+// A record of the key-value service, passed on by an instance that reaches it.
+struct FleetRecord {
+  1: string key
+  2: binary value
+  3: i64 revision
+}
+
+// Asks an instance what it knows of the coordinator and of what operators ask for.
+struct FleetStateCall {
+  1: i64 operatorRevision // newest that the caller has; records are sent only if there is more
+}
+
+struct FleetState {
+  1: string owner // endpoint of the coordinator; empty when none is known
+  2: i64 ownerRevision
+  3: i64 ageMs // since the key-value service confirmed it
+  4: i64 operatorRevision
+  5: list<FleetRecord> operatorRecords
+}
--- a/include/marigoldlink/Entry/Election.h
+++ b/include/marigoldlink/Entry/Election.h
@@ -74,6 +74,23 @@
     bool isLeaseSure() const { return m_ownership && m_loop.now() < sureUntil(); }
     TimePoint sureUntil() const { return m_renewedAt + m_ttl; }
 
+    Revision ownerRevision() const { return m_ownerRevision; }
+    TimePoint confirmedAt() const { return m_ownership ? m_renewedAt : m_follower.confirmedAt(); }
+    bool isStoreReached() const { return m_follower.isReached(); }
+
+    // Another process has seen a later owner in the key-value service.
+    void learnOwner(const Endpoint& owner, Revision revision)
+    {
+        if (revision <= m_ownerRevision)
+            return;
+        s_log.info("Told of a later owner by a peer.", { { "owner", owner.text() } });
+        m_ownerRevision = revision;
+        if (m_ownership)
+            lose();
+        m_owner = owner;
+        m_onOwner();
+    }
+
     // Gives the ownership up at once, or stops standing for it.
     void retire()
     {
@@ -102,7 +119,8 @@
         const auto& values = m_follower.values();
         const auto found = values.find(records::owner);
         m_owner.reset();
-        if (found != values.end()) {
+        if (found != values.end() && found->second.revision >= m_ownerRevision) {
+            m_ownerRevision = found->second.revision;
             try {
                 m_owner = Endpoint::parse(found->second.value);
             } catch (const Error& error) {
@@ -183,6 +201,7 @@
             ownership.headRevision = result.revision;
             m_ownership = ownership;
             m_owner = m_self;
+            m_ownerRevision = result.revision;
             s_log.info("Elected.",
                 { { "term", std::to_string(ownership.term) },
                     { "fence", std::to_string(static_cast<std::uint64_t>(result.revision)) } });
@@ -246,6 +265,7 @@
     OnOwner m_onOwner;
     StoreFollower<Platform> m_follower;
     std::optional<Endpoint> m_owner;
+    Revision m_ownerRevision { noRevision }; // of the latest owner's record that is known here
     std::optional<Ownership> m_ownership;
     TimePoint m_renewedAt;
     Duration m_ttl { 0 }; // of the lease that was opened last
--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -45,6 +45,8 @@
               [this](
                   const HttpRequest& request, HttpResponderPtr responder) { servePeer(request, std::move(responder)); })
         , m_operatorFollower(loop, platform, platform.operatorPrefix(), {}, [this](const auto&) { operatorsChanged(); })
+        , m_memberFollower(
+              loop, platform, s_memberPrefix, { s_memberWait, Duration(s_registerRetryMs) }, [](const auto&) {})
         , m_election(
               loop, platform, m_settings.peers, {}, [this](const Ownership& ownership) { elected(ownership); },
               [this] { dismissed(); }, [this] { ownerChanged(); })
@@ -54,6 +56,8 @@
     void start()
     {
         m_server.listen(m_settings.peers);
+        registerMember();
+        m_memberFollower.start();
         m_operatorFollower.start();
         m_election.start();
     }
@@ -152,6 +156,79 @@
             waiting({ Reply::Kind::NotCoordinator, {}, 0, {} }, true);
     }
 
+    // Peers: what one instance learns from another while it does not reach the key-value service.
+
+    void registerMember()
+    {
+        StoreWrite call;
+        call.puts = { { s_memberPrefix + m_settings.peers.text(), "{}", StoreLease::None } };
+        m_platform.write(call, [this](const StoreWriteResult& result) {
+            if (result.status != StoreWriteStatus::Done)
+                m_loop.after(Duration(s_registerRetryMs), [this] { registerMember(); });
+        });
+    }
+
+    // Asks one peer after another for the coordinator, not too often.
+    void askPeers()
+    {
+        const auto now = m_loop.now();
+        if (now < m_nextQuestion)
+            return;
+        m_nextQuestion = now + Duration(s_questionPeriodMs);
+        std::vector<Endpoint> peers;
+        for (const auto& [key, value] : m_memberFollower.values()) {
+            try {
+                const auto peer = Endpoint::parse(key.substr(std::string(s_memberPrefix).size()));
+                if (peer != m_settings.peers)
+                    peers.push_back(peer);
+            } catch (const Error& error) {
+                s_log.error("A member's record does not parse.", { { "key", key }, { "reason", error.what() } });
+            }
+        }
+        // Two at a time, as one may be cut off as well.
+        for (std::size_t i = 0; i < std::min<std::size_t>(peers.size(), s_peersAsked); ++i) {
+            HttpCall http;
+            http.method = "POST";
+            http.target = s_statePath;
+            http.body = encodeKnowledgeCall(m_operatorFollower.revision());
+            http.timeout = Duration(s_questionPeriodMs) * 2;
+            m_client.send(peers[m_nextPeer++ % peers.size()], std::move(http),
+                [this](const HttpOutcome& outcome) { learn(outcome); });
+        }
+    }
+
+    void learn(const HttpOutcome& outcome)
+    {
+        if (!outcome.isOk())
+            return;
+        try {
+            auto knowledge = decodeKnowledge(outcome.body);
+            if (knowledge.age > Duration(s_oldestKnowledgeMs))
+                return;
+            if (knowledge.owner)
+                m_election.learnOwner(*knowledge.owner, knowledge.ownerRevision);
+            if (!knowledge.operatorRecords.empty())
+                m_operatorFollower.offer(std::move(knowledge.operatorRecords), knowledge.operatorRevision);
+        } catch (const Error& error) {
+            s_log.error("A peer's state does not parse.", { { "reason", error.what() } });
+        }
+    }
+
+    FleetKnowledge knowledge(Revision known) const
+    {
+        FleetKnowledge knowledge;
+        knowledge.owner = m_election.owner();
+        knowledge.ownerRevision = m_election.ownerRevision();
+        const auto confirmedAt = std::min(m_election.confirmedAt(), m_operatorFollower.confirmedAt());
+        knowledge.age = m_loop.now() - confirmedAt;
+        knowledge.operatorRevision = m_operatorFollower.revision();
+        if (knowledge.operatorRevision > known) {
+            for (const auto& [key, value] : m_operatorFollower.values())
+                knowledge.operatorRecords.push_back(value);
+        }
+        return knowledge;
+    }
+
     // Calls of callers, here or at the owner.
 
     void tryCall(std::uint64_t id)
@@ -169,8 +246,11 @@
             return;
         }
         const auto owner = m_election.owner();
-        if (!owner || *owner == m_settings.peers)
+        if (!owner || *owner == m_settings.peers) {
+            if (!m_election.isStoreReached())
+                askPeers();
             return;
+        }
         pending.isUnderWay = true;
         HttpCall http;
         http.method = "POST";
@@ -201,6 +281,7 @@
             finish(id, { CallResult::Kind::Answered, reply });
             return;
         }
+        askPeers();
         m_loop.after(Duration(s_retryMs), [this, id] { tryCall(id); });
     }
 
@@ -273,6 +354,10 @@
 
     void servePeer(const HttpRequest& request, HttpResponderPtr responder)
     {
+        if (request.path == s_statePath) {
+            serveState(request, *responder);
+            return;
+        }
         if (request.path != s_callPath) {
             responder->send({ s_statusNotFound, "", "text/plain", {} });
             return;
@@ -288,7 +373,25 @@
         }
     }
 
+    void serveState(const HttpRequest& request, HttpResponder& responder)
+    {
+        try {
+            const auto known = decodeKnowledgeCall(std::string(request.body));
+            responder.send({ s_statusOk, encodeKnowledge(knowledge(known)), s_callType, {} });
+        } catch (const Error& error) {
+            s_log.error("A peer's question does not parse.", { { "reason", error.what() } });
+            responder.send({ s_statusMalformed, "", "text/plain", {} });
+        }
+    }
+
     static constexpr Log s_log { "node" };
+    static constexpr const char* s_statePath = "/v1/fleet/state";
+    static constexpr const char* s_memberPrefix = "marigold/member/";
+    static constexpr Duration s_memberWait { 20000 }; // members change seldom
+    static constexpr int s_registerRetryMs = 500;
+    static constexpr int s_questionPeriodMs = 250;
+    static constexpr std::size_t s_peersAsked = 2;
+    static constexpr int s_oldestKnowledgeMs = 3000; // a watch is confirmed every 1.5 s
     static constexpr const char* s_callPath = "/v1/fleet/call";
     static constexpr const char* s_callType = "application/x-thrift";
     static constexpr int s_statusOk = 200;
@@ -306,7 +409,10 @@
     HttpClient m_client;
     HttpServer m_server;
     StoreFollower<Platform> m_operatorFollower;
+    StoreFollower<Platform> m_memberFollower;
     Election<Platform> m_election;
+    TimePoint m_nextQuestion; // to a peer
+    std::size_t m_nextPeer { 0 };
     OperatorState m_operators;
     std::shared_ptr<CoordinatorRunner<Platform>> m_runner;
     std::optional<Ownership> m_waitingOwnership;
--- a/include/marigoldlink/Entry/StoreFollower.h
+++ b/include/marigoldlink/Entry/StoreFollower.h
@@ -44,6 +44,20 @@
     TimePoint confirmedAt() const { return m_confirmedAt; }
     const std::map<std::string, StoredValue>& values() const { return m_values; }
     Revision revision() const { return m_revision; }
+    // False from the first call on that the service did not answer.
+    bool isReached() const { return m_isReached; }
+
+    // Takes all values as another process read them, if they are newer. The next answer of the service goes on from
+    // its own revision.
+    void offer(std::vector<StoredValue> values, Revision revision)
+    {
+        if (revision <= m_revision || m_isReached)
+            return;
+        const auto changed = replace(std::move(values));
+        m_isLoaded = true;
+        if (!changed.empty())
+            m_onChange(changed);
+    }
 
 private:
     void next()
--- a/include/marigoldlink/Protocol/Generated/Fleet_types.h
+++ b/include/marigoldlink/Protocol/Generated/Fleet_types.h
@@ -25,6 +25,12 @@
 
 class FleetReply;
 
+class FleetRecord;
+
+class FleetStateCall;
+
+class FleetState;
+
 typedef struct _FleetCall__isset {
   _FleetCall__isset() : kind(false), job(false), queue(false), record(false) {}
   bool kind :1;
@@ -153,6 +159,176 @@
 
 std::ostream& operator<<(std::ostream& out, const FleetReply& obj);
 
+typedef struct _FleetRecord__isset {
+  _FleetRecord__isset() : key(false), value(false), revision(false) {}
+  bool key :1;
+  bool value :1;
+  bool revision :1;
+} _FleetRecord__isset;
+
+class FleetRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetRecord(const FleetRecord&);
+  FleetRecord& operator=(const FleetRecord&);
+  FleetRecord() noexcept
+              : key(),
+                value(),
+                revision(0) {
+  }
+
+  virtual ~FleetRecord() noexcept;
+  std::string key;
+  std::string value;
+  int64_t revision;
+
+  _FleetRecord__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const FleetRecord & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetRecord &a, FleetRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetRecord& obj);
+
+typedef struct _FleetStateCall__isset {
+  _FleetStateCall__isset() : operatorRevision(false) {}
+  bool operatorRevision :1;
+} _FleetStateCall__isset;
+
+class FleetStateCall : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetStateCall(const FleetStateCall&) noexcept;
+  FleetStateCall& operator=(const FleetStateCall&) noexcept;
+  FleetStateCall() noexcept
+                 : operatorRevision(0) {
+  }
+
+  virtual ~FleetStateCall() noexcept;
+  int64_t operatorRevision;
+
+  _FleetStateCall__isset __isset;
+
+  void __set_operatorRevision(const int64_t val);
+
+  bool operator == (const FleetStateCall & rhs) const
+  {
+    if (!(operatorRevision == rhs.operatorRevision))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetStateCall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetStateCall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetStateCall &a, FleetStateCall &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetStateCall& obj);
+
+typedef struct _FleetState__isset {
+  _FleetState__isset() : owner(false), ownerRevision(false), ageMs(false), operatorRevision(false), operatorRecords(false) {}
+  bool owner :1;
+  bool ownerRevision :1;
+  bool ageMs :1;
+  bool operatorRevision :1;
+  bool operatorRecords :1;
+} _FleetState__isset;
+
+class FleetState : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetState(const FleetState&);
+  FleetState& operator=(const FleetState&);
+  FleetState() noexcept
+             : owner(),
+               ownerRevision(0),
+               ageMs(0),
+               operatorRevision(0) {
+  }
+
+  virtual ~FleetState() noexcept;
+  std::string owner;
+  int64_t ownerRevision;
+  int64_t ageMs;
+  int64_t operatorRevision;
+  std::vector<FleetRecord>  operatorRecords;
+
+  _FleetState__isset __isset;
+
+  void __set_owner(const std::string& val);
+
+  void __set_ownerRevision(const int64_t val);
+
+  void __set_ageMs(const int64_t val);
+
+  void __set_operatorRevision(const int64_t val);
+
+  void __set_operatorRecords(const std::vector<FleetRecord> & val);
+
+  bool operator == (const FleetState & rhs) const
+  {
+    if (!(owner == rhs.owner))
+      return false;
+    if (!(ownerRevision == rhs.ownerRevision))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    if (!(operatorRevision == rhs.operatorRevision))
+      return false;
+    if (!(operatorRecords == rhs.operatorRecords))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetState & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetState &a, FleetState &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetState& obj);
+
 }} // namespace
 
 #endif
--- a/lib/Entry/PeerCalls.cpp
+++ b/lib/Entry/PeerCalls.cpp
@@ -66,4 +66,53 @@
         Duration(wireReply.retryAfterMs) };
 }
 
+std::string encodeKnowledgeCall(Revision known)
+{
+    wire::FleetStateCall call;
+    call.operatorRevision = static_cast<std::int64_t>(known);
+    return encodePeer(call);
+}
+
+Revision decodeKnowledgeCall(const std::string& bytes)
+{
+    wire::FleetStateCall call;
+    if (!decodePeer(bytes, call))
+        throw Error(ErrorKind::MalformedRequest, "the question of a peer does not parse");
+    return Revision(static_cast<std::uint64_t>(call.operatorRevision));
+}
+
+std::string encodeKnowledge(const FleetKnowledge& knowledge)
+{
+    wire::FleetState state;
+    state.owner = knowledge.owner ? knowledge.owner->text() : "";
+    state.ownerRevision = static_cast<std::int64_t>(knowledge.ownerRevision);
+    state.ageMs = knowledge.age.count();
+    state.operatorRevision = static_cast<std::int64_t>(knowledge.operatorRevision);
+    for (const auto& value : knowledge.operatorRecords) {
+        wire::FleetRecord record;
+        record.key = value.key;
+        record.value = value.value;
+        record.revision = static_cast<std::int64_t>(value.revision);
+        state.operatorRecords.push_back(record);
+    }
+    return encodePeer(state);
+}
+
+FleetKnowledge decodeKnowledge(const std::string& bytes)
+{
+    wire::FleetState state;
+    if (!decodePeer(bytes, state))
+        throw Error(ErrorKind::MalformedRequest, "the state of a peer does not parse");
+    FleetKnowledge knowledge;
+    if (!state.owner.empty())
+        knowledge.owner = Endpoint::parse(state.owner);
+    knowledge.ownerRevision = Revision(static_cast<std::uint64_t>(state.ownerRevision));
+    knowledge.age = Duration(state.ageMs);
+    knowledge.operatorRevision = Revision(static_cast<std::uint64_t>(state.operatorRevision));
+    for (const auto& record : state.operatorRecords)
+        knowledge.operatorRecords.push_back(
+            { record.key, record.value, Revision(static_cast<std::uint64_t>(record.revision)) });
+    return knowledge;
+}
+
 } // namespace marigoldlink
--- a/lib/Protocol/Generated/Fleet_types.cpp
+++ b/lib/Protocol/Generated/Fleet_types.cpp
@@ -317,4 +317,420 @@
   out << ")";
 }
 
+
+FleetRecord::~FleetRecord() noexcept {
+}
+
+
+void FleetRecord::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void FleetRecord::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void FleetRecord::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetRecord");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetRecord &a, FleetRecord &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+FleetRecord::FleetRecord(const FleetRecord& other4) {
+  key = other4.key;
+  value = other4.value;
+  revision = other4.revision;
+  __isset = other4.__isset;
+}
+FleetRecord& FleetRecord::operator=(const FleetRecord& other5) {
+  key = other5.key;
+  value = other5.value;
+  revision = other5.revision;
+  __isset = other5.__isset;
+  return *this;
+}
+void FleetRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetRecord(";
+  out << "key=" << to_string(key);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
+FleetStateCall::~FleetStateCall() noexcept {
+}
+
+
+void FleetStateCall::__set_operatorRevision(const int64_t val) {
+  this->operatorRevision = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetStateCall& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetStateCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operatorRevision);
+          this->__isset.operatorRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetStateCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetStateCall");
+
+  xfer += oprot->writeFieldBegin("operatorRevision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->operatorRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetStateCall &a, FleetStateCall &b) {
+  using ::std::swap;
+  swap(a.operatorRevision, b.operatorRevision);
+  swap(a.__isset, b.__isset);
+}
+
+FleetStateCall::FleetStateCall(const FleetStateCall& other6) noexcept {
+  operatorRevision = other6.operatorRevision;
+  __isset = other6.__isset;
+}
+FleetStateCall& FleetStateCall::operator=(const FleetStateCall& other7) noexcept {
+  operatorRevision = other7.operatorRevision;
+  __isset = other7.__isset;
+  return *this;
+}
+void FleetStateCall::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetStateCall(";
+  out << "operatorRevision=" << to_string(operatorRevision);
+  out << ")";
+}
+
+
+FleetState::~FleetState() noexcept {
+}
+
+
+void FleetState::__set_owner(const std::string& val) {
+  this->owner = val;
+}
+
+void FleetState::__set_ownerRevision(const int64_t val) {
+  this->ownerRevision = val;
+}
+
+void FleetState::__set_ageMs(const int64_t val) {
+  this->ageMs = val;
+}
+
+void FleetState::__set_operatorRevision(const int64_t val) {
+  this->operatorRevision = val;
+}
+
+void FleetState::__set_operatorRecords(const std::vector<FleetRecord> & val) {
+  this->operatorRecords = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ownerRevision);
+          this->__isset.ownerRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operatorRevision);
+          this->__isset.operatorRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->operatorRecords.clear();
+            uint32_t _size8;
+            ::apache::thrift::protocol::TType _etype11;
+            xfer += iprot->readListBegin(_etype11, _size8);
+            this->operatorRecords.resize(_size8);
+            uint32_t _i12;
+            for (_i12 = 0; _i12 < _size8; ++_i12)
+            {
+              xfer += this->operatorRecords[_i12].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.operatorRecords = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetState");
+
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->owner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ownerRevision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ownerRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("operatorRevision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->operatorRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("operatorRecords", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->operatorRecords.size()));
+    std::vector<FleetRecord> ::const_iterator _iter13;
+    for (_iter13 = this->operatorRecords.begin(); _iter13 != this->operatorRecords.end(); ++_iter13)
+    {
+      xfer += (*_iter13).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetState &a, FleetState &b) {
+  using ::std::swap;
+  swap(a.owner, b.owner);
+  swap(a.ownerRevision, b.ownerRevision);
+  swap(a.ageMs, b.ageMs);
+  swap(a.operatorRevision, b.operatorRevision);
+  swap(a.operatorRecords, b.operatorRecords);
+  swap(a.__isset, b.__isset);
+}
+
+FleetState::FleetState(const FleetState& other14) {
+  owner = other14.owner;
+  ownerRevision = other14.ownerRevision;
+  ageMs = other14.ageMs;
+  operatorRevision = other14.operatorRevision;
+  operatorRecords = other14.operatorRecords;
+  __isset = other14.__isset;
+}
+FleetState& FleetState::operator=(const FleetState& other15) {
+  owner = other15.owner;
+  ownerRevision = other15.ownerRevision;
+  ageMs = other15.ageMs;
+  operatorRevision = other15.operatorRevision;
+  operatorRecords = other15.operatorRecords;
+  __isset = other15.__isset;
+  return *this;
+}
+void FleetState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetState(";
+  out << "owner=" << to_string(owner);
+  out << ", " << "ownerRevision=" << to_string(ownerRevision);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "operatorRevision=" << to_string(operatorRevision);
+  out << ", " << "operatorRecords=" << to_string(operatorRecords);
+  out << ")";
+}
+
 }} // namespace
--- a/lib/Protocol/PeerCodec.cpp
+++ b/lib/Protocol/PeerCodec.cpp
@@ -40,6 +40,8 @@
 
 MARIGOLD_PEER_MESSAGE(FleetCall)
 MARIGOLD_PEER_MESSAGE(FleetReply)
+MARIGOLD_PEER_MESSAGE(FleetState)
+MARIGOLD_PEER_MESSAGE(FleetStateCall)
 MARIGOLD_PEER_MESSAGE(Heartbeat)
 MARIGOLD_PEER_MESSAGE(ConfigRequest)
 MARIGOLD_PEER_MESSAGE(ConfigReply)
