A model of the fleet for tests, and two faults that it found

Several coordinators run over modelled workers, store and links with lost, late and cut messages; a checker reads what workers and callers see (TWICE, LIMIT, ORDER, BUDGET, each accepted job ends). Ruled out for the first: the acknowledgement's own order.

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -168,10 +168,17 @@
     std::map<JobId, std::vector<PendingReply>> m_replies;
     std::map<std::string, StoredMark> m_waitingMarks; // by record key
     std::map<std::string, StoredMark> m_batchMarks; // of the batch under way
+    std::uint64_t m_batchNumber { 0 }; // of the batch that was sent last
     std::set<WorkerId> m_unrecorded; // workers whose record is not given to the journal yet
     std::set<JobId> m_unwritten; // accepted, and the record not given to the journal yet
     std::map<std::pair<WorkerId, TaskKey>, TimePoint> m_stopRetries; // next time to send the stop again
     std::map<std::pair<WorkerId, TaskKey>, TimePoint> m_confirmedAt; // the worker surely knew the run from then on
+    struct DoubtfulStart {
+        RunNumber run {};
+        TimePoint at;
+    };
+    // Starts that were not answered, by worker. They may be carried out late, even by the worker's next life.
+    std::map<WorkerId, std::map<TaskKey, DoubtfulStart>> m_doubtfulStarts;
     std::map<WorkerId, TimePoint> m_nextPace;
 
     std::map<std::string, FleetInstance> m_instances;
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -237,7 +237,11 @@
     auto batch = m_journal.next();
     if (!batch)
         return;
+    // A batch that is sent again keeps its marks; those that wait stand for records that are not in it.
+    const bool isNew = std::exchange(m_batchNumber, batch->number) != batch->number;
     for (const auto& [key, value] : batch->puts) {
+        if (!isNew)
+            break;
         if (auto mark = m_waitingMarks.extract(key))
             m_batchMarks.insert_or_assign(key, mark.mapped());
     }
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -119,6 +119,7 @@
         log("coordinator", std::to_string(m_term.fence), "deposed: worker " + life.id.value() + " has a higher fence");
         return;
     case StartAnswer::Unknown:
+        m_doubtfulStarts[life.id][key] = { run, now };
         worker->isAnswering = false;
         worker->recentFailures += 1;
         worker->nextLook = now;
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -16,6 +16,8 @@
     constexpr Duration s_failedLookDelay { 300 };
     // Ends that arrive within this time are written together before the next look.
     constexpr Duration s_endDelay { 30 };
+    // An order without an answer may be carried out this much later (platform's kinds of trouble: 2 to 12 s).
+    constexpr Duration s_longestDelay { 15000 };
     // Time between looks while ends wait for a store that does not write.
     constexpr Duration s_unstoredDelay { 250 };
     // A worker that left the registry is forgotten after this time without an answer.
@@ -60,9 +62,22 @@
 {
     const auto id = worker.entry.life.id;
     log("worker", id.value(), "began another life; " + std::to_string(worker.runs.size()) + " runs lost");
-    for (const auto& [key, run] : std::map(worker.runs))
+    auto doubtful = m_doubtfulStarts[id];
+    for (const auto& [key, run] : std::map(worker.runs)) {
+        if (!m_confirmedAt.contains({ id, key }))
+            doubtful[key] = { run.number, now };
         runOver(id, key, run.number, RunEnd::Lost, {}, now);
+    }
     m_workers.reborn(worker, bornUnixMs);
+    // A start without an answer may still reach the new life, whose clock makes nothing of the order's deadline.
+    for (const auto& [key, start] : doubtful) {
+        if (now - start.at > s_longestDelay)
+            continue;
+        occupy(id, key, start.run);
+        if (auto* task = m_jobs.findTask(key))
+            ++task->strays;
+        orderStop(id, key, start.run, now);
+    }
 }
 
 void Coordinator::lookAtWorkers(TimePoint now)
--- /dev/null
+++ b/unittests/Coordination/JournalTest.cpp
@@ -0,0 +1,132 @@
+// The journal under lost answers, refusals, writes that are carried out late, and another writer.
+#include "marigoldlink/Coordination/Journal.h"
+#include "Choices.h"
+
+#include <gtest/gtest.h>
+#include <list>
+#include <rapidcheck/gtest.h>
+
+namespace marigoldlink::testing {
+
+namespace {
+
+    // A key-value service that carries out a write whenever its condition still holds, at any later time.
+    struct Service {
+        Revision head { Revision(1) };
+        std::uint64_t headNumber { 0 };
+        std::uint64_t revision { 1 };
+        std::map<std::string, std::string> records;
+        std::list<JournalBatch> late;
+
+        bool carryOut(const JournalBatch& batch)
+        {
+            if (batch.expectedHead != head)
+                return false;
+            head = Revision(++revision);
+            headNumber = batch.number;
+            for (const auto& [key, value] : batch.puts)
+                records[key] = value;
+            for (const auto& key : batch.removals)
+                records.erase(key);
+            return true;
+        }
+    };
+
+    void answer(Journal& journal, Service& service, const JournalBatch& batch, Choices& choices,
+        std::map<std::string, std::string>& confirmed)
+    {
+        const auto note = [&confirmed](const std::optional<JournalBatch>& stored) {
+            if (!stored)
+                return;
+            for (const auto& [key, value] : stored->puts)
+                confirmed[key] = value;
+        };
+        switch (choices.below(6)) {
+        case 0:
+            note(journal.answered(JournalAnswer::Refused, noRevision));
+            break;
+        case 1: // lost on its way
+            note(journal.answered(JournalAnswer::Unknown, noRevision));
+            break;
+        case 2: // the answer is lost
+            service.carryOut(batch);
+            note(journal.answered(JournalAnswer::Unknown, noRevision));
+            break;
+        case 3: // carried out later, if it still can be
+            service.late.push_back(batch);
+            note(journal.answered(JournalAnswer::Unknown, noRevision));
+            break;
+        default:
+            if (service.carryOut(batch))
+                note(journal.answered(JournalAnswer::Stored, service.head));
+            else
+                note(journal.answered(JournalAnswer::Conflict, noRevision));
+        }
+        if (journal.needsHeadRead())
+            note(journal.headRead(service.head, service.headNumber));
+    }
+
+} // namespace
+
+RC_GTEST_PROP(Journal, ConfirmedRecordsAreStoredAndNeverRevert, ())
+{
+    auto choices = Choices::generate(20);
+    Service service;
+    Journal journal(service.head, 0);
+    std::map<std::string, std::string> confirmed;
+    std::map<std::string, std::string> wanted;
+    int value = 0;
+    while (!choices.isOver()) {
+        const auto key = "key" + std::to_string(choices.below(5));
+        wanted[key] = std::to_string(++value);
+        journal.put(key, wanted[key]);
+        if (!service.late.empty() && choices.below(3) == 0) {
+            service.carryOut(service.late.front());
+            service.late.pop_front();
+        }
+        if (const auto batch = journal.next())
+            answer(journal, service, *batch, choices, confirmed);
+        RC_ASSERT(!journal.hasLost());
+        for (const auto& [name, stored] : confirmed)
+            RC_ASSERT(std::stoi(service.records[name]) >= std::stoi(stored));
+    }
+    // Once the service answers, everything is stored as it was given last.
+    for (int i = 0; i < 20; ++i) {
+        if (const auto batch = journal.next()) {
+            const bool isDone = service.carryOut(*batch);
+            journal.answered(isDone ? JournalAnswer::Stored : JournalAnswer::Conflict, service.head);
+        }
+        if (journal.needsHeadRead())
+            journal.headRead(service.head, service.headNumber);
+    }
+    for (const auto& [name, last] : wanted)
+        RC_ASSERT(service.records[name] == last);
+}
+
+TEST(Journal, AnotherWriterEndsIt)
+{
+    Service service;
+    Journal first(service.head, 0);
+    Journal second(service.head, 0);
+    first.put("a", "1");
+    second.put("a", "2");
+    const auto firstBatch = first.next();
+    const auto secondBatch = second.next();
+    ASSERT_TRUE(service.carryOut(*secondBatch));
+    EXPECT_FALSE(service.carryOut(*firstBatch));
+    first.answered(JournalAnswer::Conflict, noRevision);
+    EXPECT_TRUE(first.hasLost());
+    EXPECT_FALSE(first.next());
+}
+
+TEST(Journal, ABatchStaysWithinTheServicesLimit)
+{
+    Journal journal;
+    for (int i = 0; i < 100; ++i)
+        journal.put("key" + std::to_string(i), "v");
+    const auto batch = journal.next();
+    ASSERT_TRUE(batch);
+    EXPECT_EQ(batch->puts.size(), Journal::mostRecords);
+}
+
+} // namespace marigoldlink::testing
--- /dev/null
+++ b/unittests/Coordination/PlacementTest.cpp
@@ -0,0 +1,140 @@
+// Placement keeps room, spread, labels and team limits, whatever the jobs ask.
+#include "marigoldlink/Coordination/Placement.h"
+#include "Choices.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace marigoldlink::testing {
+
+namespace {
+
+    const ServiceId s_service("gates");
+    const TeamId s_team("team");
+    const TimePoint s_now { Duration(100000) };
+
+    JobQueue queue(int priority = 0)
+    {
+        JobQueue queue;
+        queue.id = QueueId("checks");
+        queue.service = s_service;
+        queue.attempts = 2;
+        queue.priority = priority;
+        return queue;
+    }
+
+    StepSpec randomStep(Choices& choices, int index)
+    {
+        StepSpec step;
+        step.tasks = 1 + static_cast<int>(choices.below(8));
+        step.need
+            = { static_cast<std::int64_t>(choices.below(5000)), static_cast<std::int64_t>(choices.below(500)), 0 };
+        step.estimate = Duration(static_cast<std::int64_t>(100 + choices.below(2000)));
+        if (index && choices.below(2))
+            step.after.push_back(static_cast<int>(choices.below(static_cast<std::size_t>(index))));
+        step.mostPerWorker = static_cast<int>(choices.below(3));
+        step.isGang = choices.below(5) == 0;
+        step.isFiller = choices.below(6) == 0;
+        if (choices.below(4) == 0)
+            step.requiredLabel = "fast";
+        return step;
+    }
+
+} // namespace
+
+RC_GTEST_PROP(Placement, PlansOnlyStartsThatAreAllowed, ())
+{
+    auto choices = Choices::generate(60);
+    JobBook jobs;
+    WorkerBook workers;
+    FleetConfig config;
+    config.version = 1;
+    JobTeam team;
+    team.id = s_team;
+    team.limit = { static_cast<std::int64_t>(choices.below(30000)), 0, 0 };
+    config.teams.emplace(s_team, team);
+    const int workerCount = 1 + static_cast<int>(choices.below(5));
+    for (int i = 0; i < workerCount; ++i) {
+        WorkerEntry entry;
+        entry.life.id = WorkerId("w" + std::to_string(i));
+        entry.service = s_service;
+        entry.capacity = { 8000, 1000, 0 };
+        entry.rack = RackId("r" + std::to_string(i / 2));
+        if (choices.below(2))
+            entry.labels.insert("fast");
+        workers.entryChanged(entry);
+    }
+    const int jobCount = 1 + static_cast<int>(choices.below(6));
+    for (int i = 0; i < jobCount; ++i) {
+        JobSpec spec;
+        spec.id = JobId("job" + std::to_string(i));
+        spec.queue = QueueId("checks");
+        spec.team = s_team;
+        const int steps = 1 + static_cast<int>(choices.below(3));
+        for (int k = 0; k < steps; ++k)
+            spec.steps.push_back(randomStep(choices, k));
+        auto& job = jobs.accept(spec, queue(), s_now);
+        job.version = job.storedVersion = 1;
+    }
+    const TeamUse use;
+    const Placement placement(
+        jobs, workers, config, use, [](const Worker&) { return true; }, [](const Job&) { return true; });
+    const auto starts = placement.plan(s_now, 100);
+    std::map<WorkerId, Resources> used;
+    std::map<std::tuple<WorkerId, JobId, int>, int> ofStep;
+    std::map<std::pair<JobId, int>, int> gangs;
+    std::set<TaskKey> tasks;
+    Resources ofTeam;
+    for (const auto& start : starts) {
+        const auto& job = *jobs.find(start.task.job);
+        const auto& step = job.stepSpec(start.task);
+        const auto& worker = *workers.find(start.worker);
+        RC_ASSERT(tasks.insert(start.task).second);
+        RC_ASSERT(step.after.empty()); // nothing has ended yet
+        RC_ASSERT(step.requiredLabel.empty() || worker.entry.labels.contains(step.requiredLabel));
+        used[start.worker] += step.reserved();
+        ofTeam += step.need;
+        ++gangs[{ start.task.job, start.task.step }];
+        const int here = ++ofStep[{ start.worker, start.task.job, start.task.step }];
+        RC_ASSERT(!step.mostPerWorker || here <= step.mostPerWorker);
+    }
+    for (const auto& [id, sum] : used)
+        RC_ASSERT(sum.fitsInto(workers.find(id)->entry.capacity));
+    RC_ASSERT(!team.limit.milliCores || ofTeam.milliCores <= team.limit.milliCores);
+    for (const auto& [key, count] : gangs) {
+        const auto& step = jobs.find(key.first)->spec.steps[static_cast<std::size_t>(key.second)];
+        RC_ASSERT(!step.isGang || count == step.tasks);
+    }
+}
+
+// Pattern: jobs that cannot be done in time any more. They go after those that still can.
+TEST(Placement, LateJobsGoLastAndUrgentQueuesFirst)
+{
+    JobBook jobs;
+    WorkerBook workers;
+    const auto add = [&jobs](const char* id, int priority, TimePoint acceptedAt) {
+        JobSpec spec;
+        spec.id = JobId(id);
+        StepSpec step;
+        step.need = { 1000, 1, 0 };
+        step.estimate = Duration(1000);
+        spec.steps.push_back(step);
+        auto& job = jobs.accept(spec, queue(priority), acceptedAt);
+        job.queue.slack = Duration(500);
+        job.version = job.storedVersion = 1;
+    };
+    add("late", 0, s_now - Duration(5000));
+    add("fresh", 0, s_now);
+    add("lessUrgent", 1, s_now);
+    const FleetConfig config;
+    const TeamUse use;
+    const Placement placement(
+        jobs, workers, config, use, [](const Worker&) { return true; }, [](const Job&) { return true; });
+    const auto ready = placement.readySteps(s_now);
+    ASSERT_EQ(ready.size(), 3u);
+    EXPECT_EQ(ready[0].job->spec.id, JobId("fresh"));
+    EXPECT_EQ(ready[1].job->spec.id, JobId("late"));
+    EXPECT_EQ(ready[2].job->spec.id, JobId("lessUrgent"));
+}
+
+} // namespace marigoldlink::testing
--- /dev/null
+++ b/unittests/Coordination/PoolSizerTest.cpp
@@ -0,0 +1,124 @@
+// Loads of the pools: queues that peak in turn, single large jobs, a lull, and fleets of other sizes.
+#include "marigoldlink/Coordination/PoolSizer.h"
+#include "Choices.h"
+
+#include <cmath>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace marigoldlink::testing {
+
+namespace {
+
+    const ServiceId s_spare("spare");
+    const ServiceId s_gates("gates");
+    const ServiceId s_bookings("bookings");
+    constexpr double s_milliCores = 64000;
+
+    SizedInstance instance(int number, const ServiceId& pool, bool isIdle = true)
+    {
+        return { "i" + std::to_string(number), pool, s_milliCores, isIdle, pool != s_spare, TimePoint() };
+    }
+
+    const TimePoint s_now { Duration(100000) };
+
+} // namespace
+
+// Pattern: queues that peak in turn. While one peaks, the other keeps what its services need.
+TEST(PoolSizer, PeakTakesSpareInstancesFirstAndThenIdleOnesOfOtherPools)
+{
+    std::vector<SizedInstance> instances;
+    for (int i = 0; i < 4; ++i)
+        instances.push_back(instance(i, s_spare));
+    for (int i = 4; i < 10; ++i)
+        instances.push_back(instance(i, s_bookings));
+    for (int i = 10; i < 14; ++i)
+        instances.push_back(instance(i, s_gates, false));
+    const PoolSizer sizer({});
+    const std::map<ServiceId, PoolDemand> demands { { s_gates, { 10 * s_milliCores / 1.15, 1 } },
+        { s_bookings, { s_milliCores / 2, 3 } } };
+    const auto moves = sizer.plan(demands, instances, s_spare, s_now);
+    int fromSpare = 0;
+    int fromBookings = 0;
+    for (const auto& move : moves) {
+        const auto number = std::stoi(move.instance.substr(1));
+        if (move.pool != s_gates)
+            continue;
+        fromSpare += number < 4;
+        fromBookings += number >= 4;
+    }
+    EXPECT_EQ(fromSpare, 4);
+    EXPECT_EQ(fromBookings, 2);
+}
+
+TEST(PoolSizer, LullSendsIdleInstancesToTheSparePool)
+{
+    std::vector<SizedInstance> instances;
+    for (int i = 0; i < 8; ++i)
+        instances.push_back(instance(i, s_gates, i >= 3));
+    const PoolSizer sizer({});
+    const auto moves = sizer.plan({ { s_gates, { s_milliCores, 3 } } }, instances, s_spare, s_now);
+    EXPECT_EQ(moves.size(), 5u);
+    for (const auto& move : moves)
+        EXPECT_EQ(move.pool, s_spare);
+}
+
+// Pattern: large jobs at once. One arrival of a large job must not fetch the whole fleet.
+TEST(PoolSizer, OneLargeArrivalForecastsLessThanManySmallOnes)
+{
+    ArrivalForecast one(Duration(800));
+    one.add(s_now, 400 * s_milliCores);
+    ArrivalForecast many(Duration(800));
+    for (int i = 0; i < 40; ++i)
+        many.add(s_now, 10 * s_milliCores);
+    EXPECT_LT(one.milliCores(s_now), 0.6 * many.milliCores(s_now));
+    EXPECT_LT(many.milliCores(s_now + Duration(4000)), 0.01 * many.milliCores(s_now));
+}
+
+RC_GTEST_PROP(PoolSizer, MovesOnlyIdleInstancesAndLeavesNoPoolShort, ())
+{
+    auto choices = Choices::generate(30);
+    std::vector<SizedInstance> instances;
+    const std::vector<ServiceId> pools { s_gates, s_bookings, ServiceId("plans"), s_spare };
+    const int count = 1 + static_cast<int>(choices.below(60));
+    for (int i = 0; i < count; ++i) {
+        auto row = instance(i, choices.pick(pools), choices.below(2) == 0);
+        row.idleSince = s_now - Duration(static_cast<std::int64_t>(choices.below(3000)));
+        instances.push_back(row);
+    }
+    std::map<ServiceId, PoolDemand> demands;
+    for (const auto& pool : pools) {
+        if (pool != s_spare)
+            demands[pool]
+                = { static_cast<double>(choices.below(30)) * s_milliCores / 2, static_cast<int>(choices.below(6)) };
+    }
+    const PoolSizer sizer({});
+    const auto moves = sizer.plan(demands, instances, s_spare, s_now);
+    std::map<std::string, ServiceId> poolOf;
+    for (const auto& row : instances)
+        poolOf[row.id] = row.pool;
+    std::set<std::string> moved;
+    std::map<ServiceId, int> left;
+    for (const auto& move : moves) {
+        const auto number = static_cast<std::size_t>(std::stoi(move.instance.substr(1)));
+        RC_ASSERT(instances[number].isMovable);
+        RC_ASSERT(moved.insert(move.instance).second);
+        RC_ASSERT(poolOf[move.instance] != move.pool);
+        ++left[poolOf[move.instance]];
+        poolOf[move.instance] = move.pool;
+    }
+    for (const auto& [id, demand] : demands) {
+        if (!left[id])
+            continue;
+        double capacity = 0;
+        int members = 0;
+        for (const auto& [name, pool] : poolOf) {
+            capacity += pool == id ? s_milliCores : 0;
+            members += pool == id;
+        }
+        RC_ASSERT(capacity >= demand.milliCores);
+        RC_ASSERT(members >= demand.leastInstances);
+    }
+}
+
+} // namespace marigoldlink::testing
--- /dev/null
+++ b/unittests/Coordination/WavePlanTest.cpp
@@ -0,0 +1,134 @@
+// Maintenance waves under rejected and unanswered calls.
+#include "marigoldlink/Coordination/WavePlan.h"
+#include "Choices.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace marigoldlink::testing {
+
+namespace {
+
+    const WaveId s_wave("1");
+
+    struct Fleet {
+        std::map<std::string, FleetInstance> instances;
+        std::map<std::string, TimePoint> downUntil;
+        std::set<std::string> begun;
+
+        explicit Fleet(int count)
+        {
+            for (int i = 0; i < count; ++i) {
+                FleetInstance instance;
+                instance.id = "i" + std::to_string(i);
+                instances.emplace(instance.id, instance);
+            }
+        }
+
+        void begin(const std::string& id, TimePoint now)
+        {
+            if (!begun.insert(id).second)
+                return;
+            downUntil[id] = now + Duration(2000);
+        }
+
+        int down(TimePoint now) const
+        {
+            return static_cast<int>(std::count_if(
+                downUntil.begin(), downUntil.end(), [now](const auto& entry) { return entry.second > now; }));
+        }
+
+        // What the list shows: it lags a little.
+        void list(TimePoint now)
+        {
+            for (auto& [id, instance] : instances) {
+                const auto until = downUntil.find(id);
+                const bool isDown = until != downUntil.end() && until->second > now - Duration(100);
+                instance.state = isDown ? InstanceState::Upkeep : InstanceState::Up;
+            }
+        }
+    };
+
+    MaintenanceWave wave(int count, int mostAtOnce)
+    {
+        MaintenanceWave wave;
+        wave.id = s_wave;
+        wave.number = 1;
+        wave.mostAtOnce = mostAtOnce;
+        wave.timeAllowed = Duration(30000);
+        for (int i = 0; i < count; ++i)
+            wave.instances.push_back("i" + std::to_string(i));
+        return wave;
+    }
+
+} // namespace
+
+RC_GTEST_PROP(WavePlan, NeverTakesMoreThanAllowedAndIsCompleteOnlyAtTheEnd, ())
+{
+    auto choices = Choices::generate(50);
+    const int count = 1 + static_cast<int>(choices.below(20));
+    const int most = 1 + static_cast<int>(choices.below(6));
+    Fleet fleet(count);
+    WavePlan plan({ Duration(2000), Duration(500), Duration(3000) });
+    TimePoint now { Duration(1000) };
+    plan.setWaves({ { s_wave, wave(count, most) } }, now);
+    bool isComplete = false;
+    for (int i = 0; i < 2000 && !isComplete; ++i) {
+        now += Duration(50);
+        fleet.list(now);
+        const auto steps = plan.plan(
+            fleet.instances, [&](const std::string&) { return WaveLoad {}; }, now);
+        for (const auto& step : steps) {
+            plan.begun(step.wave, step.instance, now);
+            const auto fate = choices.below(8);
+            if (fate == 7) {
+                plan.rejected(step.instance, now); // not done
+            } else if (fate == 6) {
+                plan.unanswered(step.instance, now); // lost on its way
+            } else {
+                fleet.begin(step.instance, now);
+                if (fate == 5)
+                    plan.unanswered(step.instance, now); // done, without an answer
+                else
+                    plan.accepted(step.instance, now);
+            }
+        }
+        RC_ASSERT(fleet.down(now) <= most);
+        for (const auto& change : plan.takeChanges())
+            isComplete |= change.isComplete;
+        if (isComplete)
+            RC_ASSERT(static_cast<int>(fleet.begun.size()) == count);
+    }
+    RC_ASSERT(isComplete);
+}
+
+TEST(WavePlan, WaitsForServicesThatCannotSpareATask)
+{
+    Fleet fleet(1);
+    WavePlan plan({ Duration(2000), Duration(500), Duration(3000) });
+    TimePoint now { Duration(1000) };
+    plan.setWaves({ { s_wave, wave(1, 1) } }, now);
+    bool maySpare = false;
+    for (int i = 0; i < 40; ++i) {
+        now += Duration(100);
+        EXPECT_TRUE(plan.plan(
+                            fleet.instances,
+                            [&](const std::string&) {
+                                return WaveLoad { 0, 1, maySpare };
+                            },
+                            now)
+                        .empty());
+        EXPECT_TRUE(plan.reserved().contains("i0"));
+    }
+    maySpare = true;
+    EXPECT_EQ(plan.plan(
+                      fleet.instances,
+                      [&](const std::string&) {
+                          return WaveLoad { 0, 1, maySpare };
+                      },
+                      now)
+                  .size(),
+        1u);
+}
+
+} // namespace marigoldlink::testing
--- /dev/null
+++ b/unittests/Entry/FleetModelTest.cpp
@@ -0,0 +1,51 @@
+// Several coordinators over a model of the fleet: no rule breaks, and every accepted job ends, whatever fails.
+#include "FleetModel.h"
+
+#include <gtest/gtest.h>
+#include <random>
+
+namespace marigoldlink::testing {
+
+namespace {
+
+    Choices choicesOf(std::uint32_t seed)
+    {
+        std::mt19937 generator(seed);
+        std::vector<std::uint16_t> values(60000);
+        for (auto& value : values)
+            value = static_cast<std::uint16_t>(generator());
+        return Choices(std::move(values));
+    }
+
+} // namespace
+
+class FleetModelTest : public ::testing::TestWithParam<std::uint32_t> { };
+
+TEST_P(FleetModelTest, KeepsTheRulesAndFinishesEveryAcceptedJob)
+{
+    constexpr int seedsPerCase = 10;
+    std::size_t accepted = 0;
+    std::uint64_t terms = 0;
+    for (std::uint32_t i = 0; i < seedsPerCase; ++i) {
+        const auto seed = GetParam() * seedsPerCase + i;
+        auto choices = choicesOf(seed);
+        FleetModel model(choices, {}, 3);
+        model.run(Duration(500), true);
+        model.run(Duration(30000), false);
+        ASSERT_EQ(model.broken(), "") << "seed " << seed;
+        model.heal();
+        model.run(Duration(60000), true);
+        ASSERT_EQ(model.broken(), "") << "seed " << seed << ", after the faults";
+        EXPECT_TRUE(model.unfinished().empty())
+            << "seed " << seed << ": " << model.unfinished().size() << " jobs, first " << model.unfinished()[0];
+        accepted += model.accepted();
+        terms += model.terms();
+    }
+    // The model must have something to check.
+    EXPECT_GT(accepted, 20u * seedsPerCase);
+    EXPECT_GT(terms, 2u * seedsPerCase);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FleetModelTest, ::testing::Range<std::uint32_t>(0, 12));
+
+} // namespace marigoldlink::testing
--- a/unittests/Entry/RunsTest.cpp
+++ b/unittests/Entry/RunsTest.cpp
@@ -56,6 +56,32 @@
         EXPECT_EQ(fleet.looks[0].acknowledged, 1);
     }
 
+    // Found by FleetModelTest, seed 543: a batch that was sent again took the marks of progress that was not in it.
+    TEST_F(Runs, ABatchThatIsSentAgainDoesNotStandForLaterProgress)
+    {
+        begin();
+        fleet.accept(CoordinatorHarness::job("a", 2));
+        fleet.run(Duration(5));
+        fleet.answerStarts();
+        fleet.answerLooks({ { CoordinatorHarness::task("a", 1), RunNumber(1), "", 100, 0 } },
+            { { 1, CoordinatorHarness::task("a", 0), RunNumber(1), RunEnd::Done, "" } });
+        fleet.run(Duration(60));
+        ASSERT_TRUE(fleet.batch);
+        const auto first = *fleet.batch;
+        // The second end arrives while the first one's write is under way.
+        fleet.answerLooks({}, { { 2, CoordinatorHarness::task("a", 1), RunNumber(1), RunEnd::Done, "" } });
+        fleet.run(Duration(60));
+        fleet.answerJournal(JournalAnswer::Unknown);
+        fleet.run(Duration(300));
+        ASSERT_TRUE(fleet.batch);
+        EXPECT_EQ(fleet.batch->number, first.number);
+        fleet.answerJournal();
+        EXPECT_EQ(fleet.coordinator.look(JobId("a")).state, JobState::Running) << "the second end is not stored yet";
+        fleet.run(Duration(300));
+        fleet.answerJournal();
+        EXPECT_EQ(fleet.coordinator.look(JobId("a")).state, JobState::Complete);
+    }
+
     TEST_F(Runs, AStartWithoutAnAnswerIsStoppedBeforeTheTaskStartsElsewhere)
     {
         begin(2);
