--- a/include/marigoldlink/Coordination/Placement.h
+++ b/include/marigoldlink/Coordination/Placement.h
@@ -60,6 +60,9 @@
     {
     }
 
+    // While another coordinator may exist, a task that has run before is not started: its end may be known only there.
+    void setFirstRunsOnly(bool isFirstRunsOnly) { m_isFirstRunsOnly = isFirstRunsOnly; }
+
     // Starts to order now, most urgent first, at most so many.
     std::vector<PlannedStart> plan(TimePoint now, std::size_t most) const;
 
@@ -68,6 +71,7 @@
 
 private:
     struct Candidates;
+    bool mayStart(const Task&, TimePoint now) const;
     void planStep(const ReadyStep&, TimePoint now, Candidates&, std::size_t most, std::vector<PlannedStart>&) const;
     void planGang(const ReadyStep&, TimePoint now, Candidates&, std::vector<PlannedStart>&) const;
 
@@ -77,6 +81,7 @@
     const TeamUse& m_use;
     IsUsable m_isUsable;
     IsAccountedFor m_isAccountedFor;
+    bool m_isFirstRunsOnly { false };
 };
 
 } // namespace marigoldlink
--- a/include/marigoldlink/Coordination/WorkerBook.h
+++ b/include/marigoldlink/Coordination/WorkerBook.h
@@ -34,6 +34,7 @@
     LeaseClock lease;
     // True once an answer to this coordinator's fence arrived. Until then an earlier coordinator's tasks may run here.
     bool isFenced { false };
+    TimePoint fencedAt;
     bool isAnswering { false };
     TimePoint lastAnswer;
 
--- a/lib/Coordination/Placement.cpp
+++ b/lib/Coordination/Placement.cpp
@@ -190,6 +190,13 @@
     return starts;
 }
 
+bool Placement::mayStart(const Task& task, TimePoint now) const
+{
+    if (task.isDone || task.run || task.strays || task.notBefore > now)
+        return false;
+    return !m_isFirstRunsOnly || task.lastRun == RunNumber();
+}
+
 void Placement::planStep(const ReadyStep& ready, TimePoint now, Candidates& candidates, std::size_t most,
     std::vector<PlannedStart>& starts) const
 {
@@ -201,7 +208,7 @@
     RackId rack;
     for (std::size_t i = 0; i < tasks.size() && starts.size() < most; ++i) {
         const auto& task = tasks[i];
-        if (task.isDone || task.run || task.strays || task.notBefore > now)
+        if (!mayStart(task, now))
             continue;
         if (!candidates.use.allows(limits, job.spec.team, spec.need))
             return;
@@ -229,9 +236,8 @@
     const auto* limits = team == m_config.teams.end() ? nullptr : &team->second;
     const auto& step = job.occurrences.at(ready.occurrence).steps[index(ready.step)];
     // A gang starts anew only when nothing of its last run is left.
-    if (step.active || step.done || std::any_of(step.tasks.begin(), step.tasks.end(), [now](const Task& task) {
-            return task.strays || task.notBefore > now;
-        }))
+    if (step.active || step.done
+        || std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) { return !mayStart(task, now); }))
         return;
     std::set<RackId> racks { {} };
     if (spec.wantsOneRack) {
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -27,6 +27,9 @@
     const auto pool = m_operators.config.pools.find(worker.entry.service);
     if (pool == m_operators.config.pools.end() || pool->second.isSpare)
         return false;
+    // A worker that began its life after another coordinator may have been elected does not know that one's fence yet.
+    if (!isSure(now) && worker.fencedAt >= m_sureUntil)
+        return false;
     return worker.isRegistered && worker.isFenced && worker.isRecorded && worker.isAnswering && !worker.entry.isDraining
         && !worker.isReserved && worker.distrustedUntil <= now
         && !m_operators.evacuated.contains(worker.entry.dataCenter);
@@ -52,10 +55,11 @@
     if (!m_mustPlace || !m_operators.hasConfig())
         return;
     m_mustPlace = false;
-    const Placement placement(
+    Placement placement(
         m_jobs, m_workers, m_operators.config, m_use,
         [this, now](const Worker& worker) { return isUsable(worker, now); },
         [this, now](const Job& job) { return isAccountedFor(job, now); });
+    placement.setFirstRunsOnly(!isSure(now));
     const auto starts = placement.plan(now, s_startsPerTick);
     for (const auto& start : starts)
         orderStart(start, now);
@@ -220,6 +224,9 @@
     }
     const bool wasActive = job && job->isActive();
     m_jobs.runEnded(key, run, how, checkpoint, now);
+    // An earlier run that was given up had ended well after all; the later one is not needed.
+    if (const auto* task = m_jobs.findTask(key); task && task->isDone && task->run && task->run->number != run)
+        orderStop(task->run->worker, key, task->run->number, now);
     if (how != RunEnd::Done)
         log("task", key.text(), "run " + std::to_string(number(run)) + " on " + id.value() + " ended: " + name(how));
     if (wasActive && !job->isActive()) {
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -171,6 +171,8 @@
         m_unrecorded.insert(life.id);
     }
     worker->isAnswering = true;
+    if (!worker->isFenced)
+        worker->fencedAt = now;
     worker->isFenced = true;
     worker->lastAnswer = now;
     worker->lease.reading(now, answer.clockMs);
--- a/unittests/Entry/FleetModel.h
+++ b/unittests/Entry/FleetModel.h
@@ -40,8 +40,8 @@
         m_operators.config.queues.emplace(queue.id, queue);
         m_operators.config.pools.emplace(ServiceId("gates"), WorkerPool { ServiceId("gates"), false, false });
         for (int i = 0; i < workers; ++i)
-            m_workers.emplace(
-                WorkerId("w" + std::to_string(i)), ModelWorker { 0.98 + 0.01 * (i % 3), 1, {}, 0, 0, {}, {}, 0, {} });
+            m_workers.emplace(WorkerId("w" + std::to_string(i)),
+                ModelWorker { 0.98 + 0.01 * (i % 3), 1, {}, 0, 0, {}, {}, 0, {}, 0 });
     }
 
     // Lets the time pass, with faults and submissions drawn from the choices.
@@ -140,6 +140,7 @@
         std::vector<ListedEnd> ended;
         std::int64_t lastEnd { 0 };
         std::map<TaskKey, RunNumber> highest; // stopped or ended
+        std::int64_t lapsedEnd { 0 }; // last end before the lease lapsed
     };
 
     struct Node {
@@ -205,7 +206,7 @@
         if (luck == 17 && m_faults.restartsWorkers) {
             auto& worker = m_choices.pick(m_workers).second;
             note("a worker restarts, life " + std::to_string(worker.born + 1));
-            worker = ModelWorker { worker.rate, worker.born + 1, m_now, 0, 0, {}, {}, 0, {} };
+            worker = ModelWorker { worker.rate, worker.born + 1, m_now, 0, 0, {}, {}, 0, {}, 0 };
         }
     }
 
@@ -221,8 +222,12 @@
         m_headNumber = 0;
         m_ownerRevision = node->ownerRevision;
         m_ownerUntil = m_now + ownerTtl;
-        node->coordinator = std::make_unique<Coordinator>(
-            CoordinatorSettings {}, node->term, Journal(m_head), m_now, Coordinator::DecisionLog {});
+        node->coordinator = std::make_unique<Coordinator>(CoordinatorSettings {}, node->term, Journal(m_head), m_now,
+            [this, term = m_term](const Decision& decision) {
+                note(
+                    "term " + std::to_string(term) + ' ' + decision.subject + ' ' + decision.id + ": " + decision.text);
+            });
+        note("term " + std::to_string(m_term) + " elected");
         node->coordinator->setSureUntil(m_now + ownerTtl);
         node->coordinator->setOperators(m_operators, m_now);
         for (const auto& [id, worker] : m_workers)
@@ -477,6 +482,9 @@
             for (const auto& end : worker.ended) {
                 if (end.number > order.acknowledged)
                     continue;
+                // The platform's page: an end counts as noted unless the lease has lapsed since.
+                if (worker.lapsedEnd >= end.number)
+                    continue;
                 if (end.how == RunEnd::Done)
                     m_notedDone.insert(end.task);
                 m_notedFailures[end.task] += end.how == RunEnd::Failed;
@@ -492,6 +500,8 @@
     void advance(const WorkerId& id, ModelWorker& worker)
     {
         const bool isLapsed = clock(worker) >= worker.deadline;
+        if (isLapsed)
+            worker.lapsedEnd = worker.lastEnd;
         for (auto run = worker.running.begin(); run != worker.running.end();) {
             const auto stopping = m_stopping.find({ id, run->first });
             if (!isLapsed && run->second.endsAt > m_now) {
