Failures are counted by run, in whatever order their ends come

Ruled out: late orders. Change: each task keeps the runs that are counted. Test: Entry.Takeover.FailuresCountInWhateverOrderTheirEndsCome (written after the cause was known; not run on the code before).

--- a/include/marigoldlink/Coordination/JobBook.h
+++ b/include/marigoldlink/Coordination/JobBook.h
@@ -34,8 +34,9 @@
 struct Task {
     bool isDone { false };
     int failures { 0 };
-    // The last run whose failure is in the count. A successor sees an end again that was stored and not acknowledged.
-    RunNumber countedRun {};
+    // The runs whose failures are in the count. A successor sees an end again that was stored and not acknowledged, and
+    // ends of given-up runs may be listed after those of later ones.
+    std::set<RunNumber> countedRuns;
     RunNumber lastRun {};
     std::string checkpoint;
     std::optional<ActiveRun> run;
@@ -85,7 +86,7 @@
         bool isDone { false };
         int failures { 0 };
         std::string checkpoint;
-        RunNumber countedRun {}; // see Task
+        std::set<RunNumber> countedRuns; // see Task
     };
     std::map<TaskKey, TaskProgress> tasks; // only tasks with something to tell
     std::set<int> finishedOccurrences;
--- a/lib/Coordination/JobBook.cpp
+++ b/lib/Coordination/JobBook.cpp
@@ -64,7 +64,7 @@
         auto& task = *findTask(key);
         task.isDone = stored.isDone;
         task.failures = stored.failures;
-        task.countedRun = stored.countedRun;
+        task.countedRuns = stored.countedRuns;
         task.checkpoint = stored.checkpoint;
         if (task.isDone)
             ++job.occurrences[key.occurrence].steps[static_cast<std::size_t>(key.step)].done;
@@ -244,9 +244,9 @@
     const auto& spec = job.stepSpec(key);
     // A gang fails as one; its first member keeps the count.
     auto& counted = step.tasks[spec.isGang ? 0 : static_cast<std::size_t>(key.index)];
-    if (run <= counted.countedRun)
+    // Services have no limit, so nothing is remembered of them.
+    if (!spec.isService && !counted.countedRuns.insert(run).second)
         return;
-    counted.countedRun = run;
     ++counted.failures;
     for (auto& task : step.tasks) {
         if (spec.isGang || &task == &counted)
@@ -294,7 +294,7 @@
                     continue;
                 const TaskKey key { job.spec.id, number, static_cast<int>(step), static_cast<int>(index) };
                 progress.tasks[key]
-                    = { task.isDone, task.failures, task.isDone ? "" : task.checkpoint, task.countedRun };
+                    = { task.isDone, task.failures, task.isDone ? "" : task.checkpoint, task.countedRuns };
             }
         }
     }
--- a/lib/Protocol/JobCodec.cpp
+++ b/lib/Protocol/JobCodec.cpp
@@ -64,6 +64,14 @@
         return step;
     }
 
+    Json runNumbers(const std::set<RunNumber>& runs)
+    {
+        Json numbers = Json::array();
+        for (const auto run : runs)
+            numbers.push_back(number(run));
+        return numbers;
+    }
+
     // Runs the decoder and turns every fault of the JSON library into one kind of error.
     template <typename Decoder> auto decoded(const std::string& record, const char* what, Decoder decoder)
     {
@@ -115,7 +123,7 @@
         json["finished"] = progress.finishedOccurrences;
     for (const auto& [key, task] : progress.tasks)
         json["tasks"].push_back({ key.occurrence, key.step, key.index, task.isDone, task.failures, task.checkpoint,
-            number(task.countedRun) });
+            runNumbers(task.countedRuns) });
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -131,8 +139,10 @@
         if (const auto tasks = json.find("tasks"); tasks != json.end()) {
             for (const auto& row : *tasks) {
                 const TaskKey key { id, row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>() };
-                progress.tasks[key] = { row.at(3).get<bool>(), row.at(4).get<int>(), row.at(5).get<std::string>(),
-                    RunNumber(row.at(6).get<std::int64_t>()) };
+                auto& task = progress.tasks[key];
+                task = { row.at(3).get<bool>(), row.at(4).get<int>(), row.at(5).get<std::string>(), {} };
+                for (const auto& run : row.at(6))
+                    task.countedRuns.insert(RunNumber(run.get<std::int64_t>()));
             }
         }
         return progress;
--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -184,13 +184,29 @@
         EXPECT_THAT(second.starts, SizeIs(1)) << "one attempt is left";
     }
 
+    // BUDGET in hunts: the end of a run that had been given up came after the failure of the next one.
+    TEST(Takeover, FailuresCountInWhateverOrderTheirEndsCome)
+    {
+        CoordinatorHarness fleet({ 20, 2 });
+        fleet.addWorker("w1");
+        JobProgress progress;
+        progress.state = JobState::Running;
+        progress.tasks[CoordinatorHarness::task("a")] = { false, 1, "", { RunNumber(2) } };
+        fleet.coordinator.restoreJob(CoordinatorHarness::job("a"), progress, fleet.now);
+        fleet.run(Duration(5));
+        fleet.answerLooks({}, { { 1, CoordinatorHarness::task("a"), RunNumber(1), RunEnd::Failed, "" } });
+        fleet.coordinator.restored(fleet.now);
+        fleet.run(Duration(2000));
+        EXPECT_THAT(fleet.starts, IsEmpty()) << "both attempts are used up";
+    }
+
     TEST(Takeover, AFailedRunOfBeforeCountsAgainstTheAttempts)
     {
         CoordinatorHarness fleet({ 20, 2 });
         fleet.addWorker("w1");
         JobProgress progress;
         progress.state = JobState::Running;
-        progress.tasks[CoordinatorHarness::task("a")] = { false, 1, "", RunNumber(6) };
+        progress.tasks[CoordinatorHarness::task("a")] = { false, 1, "", { RunNumber(6) } };
         fleet.coordinator.restoreJob(CoordinatorHarness::job("a"), progress, fleet.now);
         fleet.run(Duration(5));
         fleet.answerLooks({}, { { 1, CoordinatorHarness::task("a"), RunNumber(7), RunEnd::Failed, "" } });
