--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -198,6 +198,7 @@
         fleet.coordinator.restored(fleet.now);
         fleet.run(Duration(2000));
         EXPECT_THAT(fleet.starts, IsEmpty()) << "both attempts are used up";
+        EXPECT_EQ(fleet.coordinator.jobs().find(JobId("a"))->state, JobState::Failed);
     }
 
     TEST(Takeover, AFailedRunOfBeforeCountsAgainstTheAttempts)
