Pools are sized by processors, memory, accelerators and required labels

Cause: demand and capacity of a pool were counted in processors alone. Tasks that run anywhere took the instances that others need. Ruled out: team limits and placement (all refusals of the placement were for room under the label). Change: a pool is short of a resource or of a label; an instance counts only for tasks that it can run; what does not help is given away; tasks that no instance can run ask for nothing; an instance that a pool refuses as of another kind is not sent there again, other refused moves wait a second; placement leaves labelled room to tasks that require the label. Tests: Coordination.PoolSizer.BringsInstancesWithTheLabelThatTasksRequire, KeepsTheLastInstanceWithALabelThatIsAskedFor, MemoryAloneMakesAPoolShort, APoolThatNothingHelpsDoesNotKeepOthersWaiting, PrefersLargeSpareInstances, GivesWhatDoesNotHelpTheTasksThatWait (of the fields that the code before did not have, so not run on it), and Coordination.Placement.LeavesWorkersWithARequiredLabelToTheTasksThatRequireIt (seen failing).

--- a/include/marigoldlink/Coordination/PoolSizer.h
+++ b/include/marigoldlink/Coordination/PoolSizer.h
@@ -1,6 +1,9 @@
 // Which instances stand in which pool: pools that fall short take idle instances of others, and what nobody needs goes
 // to the spare pool, where it costs nothing.
 //
+// A pool may fall short of processors, memory or accelerators, as a whole or among the instances with a label that some
+// tasks require.
+//
 // A pool's demand is the larger of what its tasks need now, running and waiting, and what the arrivals let expect by
 // the time an instance could join. So a burst is answered from its first arrivals on, before its queue is long.
 #pragma once
@@ -8,6 +11,7 @@
 #include "marigoldlink/State/Fleet.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,19 +40,29 @@
     double m_sumOfSquares { 0 };
 };
 
-struct PoolDemand {
-    double milliCores { 0 }; // running, waiting, or arriving
+// What is asked of the instances of a pool, or of those with one label.
+struct Demand {
+    Resources need; // running, waiting, or arriving
     int leastInstances { 0 }; // to spread services as they ask
 };
 
+// Tasks that require a label count in the whole and under their label. What no instance of the fleet can run must be
+// left out: no move would help it.
+struct PoolDemand {
+    Demand whole;
+    std::map<std::string, Demand> byLabel;
+};
+
 // One instance as the sizer sees it.
 struct SizedInstance {
     std::string id;
     ServiceId pool;
-    double milliCores { 0 };
+    Resources capacity;
+    std::set<std::string> labels;
     bool isMovable { false }; // up, nothing runs on it, and nothing else is planned for it
     bool isUsable { false }; // tasks can start on it, or will once it has joined
     TimePoint idleSince; // of a movable instance
+    std::set<ServiceId> barredPools; // pools that do not take it
 };
 
 struct PlannedMove {
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -145,12 +145,18 @@
     // Stops the services on a worker that is kept free, as far as each can spare a task.
     void drainServices(Worker&, TimePoint now);
     void sizePools(TimePoint now);
-    double occurrenceDemand(const Job&, const Occurrence&) const;
+    // Needs by the label that they require; those of all tasks stand under the empty one.
+    using LabelledNeed = std::map<std::string, Resources>;
+    // The most that instances with a label have; of all instances under the empty one.
+    using FleetBounds = std::map<std::string, Resources>;
+    FleetBounds fleetBounds() const;
+    LabelledNeed occurrenceNeed(const Job&, const Occurrence&, const FleetBounds&) const;
     bool followsOpenSteps(const Job&, const Occurrence&, const StepSpec&) const;
     std::map<ServiceId, PoolDemand> poolDemands(TimePoint now) const;
     void reportPools(const std::map<ServiceId, PoolDemand>&, const std::vector<SizedInstance>&) const;
     SizedInstance sized(const FleetInstance&, TimePoint now) const;
     void maintained(FleetInstance&, TimePoint now);
+    void moveRefused(const std::string& instance, InstanceAnswer, TimePoint now);
     void moved(FleetInstance&, const ServiceId& pool, TimePoint now);
     void workerEnded(const FleetInstance&, TimePoint now);
     WaveLoad waveLoad(const std::string& instance) const;
@@ -196,6 +202,8 @@
     };
     // Instances on their way, until the list shows them up in their new pool.
     std::map<std::string, Move> m_moves;
+    std::map<std::string, std::set<ServiceId>> m_barredPools; // pools that refused an instance as of another kind
+    std::map<std::string, TimePoint> m_moveNotBefore; // of instances whose move was refused
     std::map<std::string, TimePoint> m_idleSince; // of instances without runs
     TimePoint m_nextSizing;
     TimePoint m_nextPoolReport;
--- a/lib/Coordination/Placement.cpp
+++ b/lib/Coordination/Placement.cpp
@@ -109,6 +109,17 @@
     };
     std::map<ServiceId, std::vector<Row>> byService;
     TeamUse use;
+    std::map<ServiceId, std::set<std::string>> requiredLabels; // by active jobs
+
+    // Whether a task that could run elsewhere would take the room of tasks that cannot.
+    bool isKeptForOthers(const Row& row, const StepSpec& spec, const ReadyStep& step) const
+    {
+        const auto labels = requiredLabels.find(step.job->queue.service);
+        return labels != requiredLabels.end()
+            && std::any_of(labels->second.begin(), labels->second.end(), [&](const std::string& label) {
+                   return label != spec.requiredLabel && row.worker->entry.labels.contains(label);
+               });
+    }
 
     int ofStep(const Row& row, const ReadyStep& step) const
     {
@@ -155,6 +166,7 @@
         if (row.worker->entry.coldLeft > Duration(0))
             cost += 10;
         cost += 20 * row.worker->recentFailures;
+        cost += isKeptForOthers(row, spec, step) ? 3 : 0;
         const auto capacity = static_cast<double>(std::max<std::int64_t>(1, row.worker->entry.capacity.milliCores));
         const auto free = static_cast<double>(row.room.milliCores) / capacity;
         // Both are packed, which leaves whole workers free for wide tasks and for other pools. Tasks of one service
@@ -171,7 +183,14 @@
     const auto ready = readySteps(now);
     if (ready.empty())
         return {};
-    Candidates candidates { {}, m_use };
+    Candidates candidates { {}, m_use, {} };
+    for (const auto& id : m_jobs.activeJobs()) {
+        const auto& job = *m_jobs.find(id);
+        for (const auto& spec : job.spec.steps) {
+            if (!spec.requiredLabel.empty())
+                candidates.requiredLabels[job.queue.service].insert(spec.requiredLabel);
+        }
+    }
     for (const auto& [id, worker] : m_workers.workers()) {
         if (m_isUsable(worker))
             candidates.byService[worker.entry.service].push_back({ &worker, worker.room(), {} });
--- a/lib/Coordination/PoolSizer.cpp
+++ b/lib/Coordination/PoolSizer.cpp
@@ -3,7 +3,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
+#include <optional>
+#include <tuple>
 
 namespace marigoldlink {
 
@@ -36,97 +37,273 @@
 
 namespace {
 
-    struct PoolState {
-        double capacity { 0 };
-        int instances { 0 };
-        double wanted { 0 };
+    Resources scaled(const Resources& resources, double factor)
+    {
+        const auto times = [factor](std::int64_t value) {
+            return static_cast<std::int64_t>(std::llround(static_cast<double>(value) * factor));
+        };
+        return { times(resources.milliCores), times(resources.memoryMegabytes), times(resources.accelerators) };
+    }
+
+    // The instances of a pool, or those with one label, against what is asked of them.
+    struct Group {
+        Resources wanted; // with headroom
         int least { 0 };
+        Resources capacity {};
+        int instances { 0 };
 
-        bool isShort() const { return capacity < wanted || instances < least; }
-        bool canGive(double milliCores, double factor) const
+        // The part of what is wanted that is there, of the resource that lacks most.
+        double covered() const
         {
-            return instances > least && capacity - milliCores >= wanted * factor;
+            if (instances < least)
+                return 0;
+            const auto part = [](std::int64_t has, std::int64_t wants) {
+                return wants <= 0 ? 1 : std::min(1.0, static_cast<double>(has) / static_cast<double>(wants));
+            };
+            return std::min(
+                { part(capacity.milliCores, wanted.milliCores), part(capacity.memoryMegabytes, wanted.memoryMegabytes),
+                    part(capacity.accelerators, wanted.accelerators) });
         }
-    };
 
-} // namespace
+        // Whether more of the instance's kind brings what lacks.
+        bool isHelpedBy(const Resources& more) const
+        {
+            const auto helps
+                = [](std::int64_t has, std::int64_t wants, std::int64_t brings) { return wants > has && brings > 0; };
+            return instances < least || helps(capacity.milliCores, wanted.milliCores, more.milliCores)
+                || helps(capacity.memoryMegabytes, wanted.memoryMegabytes, more.memoryMegabytes)
+                || helps(capacity.accelerators, wanted.accelerators, more.accelerators);
+        }
 
-std::vector<PlannedMove> PoolSizer::plan(const std::map<ServiceId, PoolDemand>& demands,
-    const std::vector<SizedInstance>& instances, const ServiceId& spare, TimePoint now) const
-{
-    std::map<ServiceId, PoolState> pools;
-    for (const auto& [id, demand] : demands) {
-        if (id != spare)
-            pools[id] = { 0, 0, demand.milliCores * m_limits.headroom, demand.leastInstances };
-    }
-    for (const auto& instance : instances) {
-        const auto pool = pools.find(instance.pool);
-        if (pool == pools.end() || !instance.isUsable)
-            continue;
-        pool->second.capacity += instance.milliCores;
-        ++pool->second.instances;
-    }
-    const auto giveFactor = m_limits.keepAbove / m_limits.headroom;
-    std::vector<PlannedMove> moves;
-    std::set<std::string> taken;
-    const auto donor = [&](const ServiceId& receiver) -> const SizedInstance* {
-        const SizedInstance* best = nullptr;
-        for (const auto& instance : instances) {
-            if (!instance.isMovable || taken.contains(instance.id) || instance.pool == receiver)
-                continue;
-            if (instance.pool == spare)
-                return &instance;
-            const auto pool = pools.find(instance.pool);
-            if (pool == pools.end() || !pool->second.canGive(instance.milliCores, giveFactor))
-                continue;
-            if (!best || instance.idleSince < best->idleSince)
-                best = &instance;
-        }
-        return best;
+        bool canGive(const Resources& less, double factor) const
+        {
+            return instances > least && scaled(wanted, factor).fitsInto(capacity - less);
+        }
+
+        void add(const Resources& more)
+        {
+            capacity += more;
+            ++instances;
+        }
+
+        void subtract(const Resources& less)
+        {
+            capacity -= less;
+            --instances;
+        }
     };
-    const auto move = [&](const SizedInstance& instance, const ServiceId& target) {
-        taken.insert(instance.id);
-        moves.push_back({ instance.id, target });
-        if (const auto from = pools.find(instance.pool); from != pools.end() && instance.isUsable) {
-            from->second.capacity -= instance.milliCores;
-            --from->second.instances;
+
+    Resources smaller(const Resources& left, const Resources& right)
+    {
+        return { std::min(left.milliCores, right.milliCores), std::min(left.memoryMegabytes, right.memoryMegabytes),
+            std::min(left.accelerators, right.accelerators) };
+    }
+
+    struct PoolState {
+        Group whole;
+        std::map<std::string, Group> byLabel; // of the labels that tasks require
+
+        PoolState(const PoolDemand& demand, double headroom)
+            : whole { scaled(demand.whole.need, headroom), demand.whole.leastInstances }
+        {
+            for (const auto& [label, part] : demand.byLabel)
+                byLabel[label] = { scaled(part.need, headroom), part.leastInstances };
+        }
+
+        // The pool as an instance can serve it: without the tasks that require a label which it lacks, and without the
+        // room that others have for these.
+        Group wholeFor(const SizedInstance& instance) const
+        {
+            auto rest = whole;
+            for (const auto& [label, group] : byLabel) {
+                if (instance.labels.contains(label))
+                    continue;
+                rest.wanted -= group.wanted;
+                rest.capacity -= smaller(group.wanted, group.capacity);
+            }
+            return rest;
+        }
+
+        double covered() const
+        {
+            auto lowest = whole.covered();
+            for (const auto& [label, group] : byLabel)
+                lowest = std::min(lowest, group.covered());
+            return lowest;
+        }
+
+        bool lacksLabelOf(const SizedInstance& instance) const
+        {
+            return std::any_of(byLabel.begin(), byLabel.end(), [&instance](const auto& entry) {
+                return instance.labels.contains(entry.first) && entry.second.isHelpedBy(instance.capacity);
+            });
+        }
+
+        bool isHelpedBy(const SizedInstance& instance) const
+        {
+            return lacksLabelOf(instance) || wholeFor(instance).isHelpedBy(instance.capacity);
+        }
+
+        bool canGive(const SizedInstance& instance, double factor) const
+        {
+            return wholeFor(instance).canGive(instance.capacity, factor)
+                && std::all_of(byLabel.begin(), byLabel.end(), [&](const auto& entry) {
+                       return !instance.labels.contains(entry.first) || entry.second.canGive(instance.capacity, factor);
+                   });
         }
-        if (const auto to = pools.find(target); to != pools.end()) {
-            to->second.capacity += instance.milliCores;
-            ++to->second.instances;
+
+        // Calls with each group that the instance belongs to.
+        template <typename Change> void changeGroupsOf(const SizedInstance& instance, Change change)
+        {
+            change(whole);
+            for (auto& [label, group] : byLabel) {
+                if (instance.labels.contains(label))
+                    change(group);
+            }
+        }
+
+        void join(const SizedInstance& instance)
+        {
+            changeGroupsOf(instance, [&](Group& group) { group.add(instance.capacity); });
+        }
+
+        void leave(const SizedInstance& instance)
+        {
+            changeGroupsOf(instance, [&](Group& group) { group.subtract(instance.capacity); });
         }
     };
-    // The pool that lacks the largest part of its demand is served first, one instance at a time.
-    for (;;) {
-        ServiceId neediest;
-        double lowest = 1;
-        for (const auto& [id, pool] : pools) {
-            if (!pool.isShort())
-                continue;
-            const auto covered = pool.instances < pool.least ? 0 : pool.capacity / std::max(1.0, pool.wanted);
-            if (covered < lowest) {
-                lowest = covered;
-                neediest = id;
+
+    // The plan under way: the pools with the moves so far.
+    class Plan {
+    public:
+        Plan(const std::map<ServiceId, PoolDemand>& demands, const std::vector<SizedInstance>& instances,
+            const ServiceId& spare, const PoolSizer::Limits& limits)
+            : m_instances(instances)
+            , m_spare(spare)
+            , m_giveFactor(limits.keepAbove / limits.headroom)
+        {
+            for (const auto& [id, demand] : demands) {
+                if (id != spare)
+                    m_pools.emplace(id, PoolState(demand, limits.headroom));
+            }
+            for (const auto& instance : instances) {
+                if (auto* pool = poolOf(instance.pool); pool && instance.isUsable)
+                    pool->join(instance);
             }
         }
-        if (neediest.empty())
-            break;
-        const auto* instance = donor(neediest);
-        if (!instance)
-            break;
-        move(*instance, neediest);
-    }
-    if (spare.empty())
-        return moves;
-    for (const auto& instance : instances) {
-        if (!instance.isMovable || taken.contains(instance.id) || instance.pool == spare
-            || now - instance.idleSince < m_limits.idleBeforeSpare)
-            continue;
-        const auto pool = pools.find(instance.pool);
-        if (pool != pools.end() && pool->second.canGive(instance.milliCores, giveFactor))
-            move(instance, spare);
-    }
-    return moves;
+
+        // The pool that lacks the largest part of its demand is served first, one instance at a time.
+        void fillPools()
+        {
+            std::set<ServiceId> hopeless;
+            for (;;) {
+                const auto neediest = neediestPool(hopeless);
+                if (!neediest)
+                    return;
+                if (const auto* instance = donor(*neediest))
+                    move(*instance, *neediest);
+                else
+                    hopeless.insert(*neediest);
+            }
+        }
+
+        void emptyPools(Duration idleBeforeSpare, TimePoint now)
+        {
+            for (const auto& instance : m_instances) {
+                if (!mayMove(instance, m_spare) || now - instance.idleSince < idleBeforeSpare)
+                    continue;
+                if (auto* pool = poolOf(instance.pool); pool && pool->canGive(instance, m_giveFactor))
+                    move(instance, m_spare);
+            }
+        }
+
+        std::vector<PlannedMove> takeMoves() { return std::move(m_moves); }
+
+    private:
+        PoolState* poolOf(const ServiceId& id)
+        {
+            const auto found = m_pools.find(id);
+            return found == m_pools.end() ? nullptr : &found->second;
+        }
+
+        std::optional<ServiceId> neediestPool(const std::set<ServiceId>& except) const
+        {
+            std::optional<ServiceId> neediest;
+            double lowest = 1;
+            for (const auto& [id, pool] : m_pools) {
+                if (const auto covered = pool.covered(); covered < lowest && !except.contains(id)) {
+                    lowest = covered;
+                    neediest = id;
+                }
+            }
+            return neediest;
+        }
+
+        bool mayMove(const SizedInstance& instance, const ServiceId& target) const
+        {
+            return instance.isMovable && !m_taken.contains(instance.id) && instance.pool != target
+                && !instance.barredPools.contains(target);
+        }
+
+        // The instance that helps the receiver and is missed least; see rank().
+        const SizedInstance* donor(const ServiceId& receiver)
+        {
+            const SizedInstance* best = nullptr;
+            for (const auto& instance : m_instances) {
+                if (!mayMove(instance, receiver) || !poolOf(receiver)->isHelpedBy(instance))
+                    continue;
+                if (instance.pool != m_spare) {
+                    auto* pool = poolOf(instance.pool);
+                    if (!pool || !pool->canGive(instance, m_giveFactor))
+                        continue;
+                }
+                if (!best || rank(instance, receiver) < rank(*best, receiver))
+                    best = &instance;
+            }
+            return best;
+        }
+
+        // Lower is better. Instances of the spare pool go first, as nobody misses them, and large ones, as all cost the
+        // same. One whose label only others ask for is kept for them. Of other pools the one goes that has been idle
+        // longest.
+        std::tuple<bool, bool, std::int64_t> rank(const SizedInstance& instance, const ServiceId& receiver)
+        {
+            const bool isSpare = instance.pool == m_spare;
+            const bool isWanted = !poolOf(receiver)->lacksLabelOf(instance)
+                && std::any_of(m_pools.begin(), m_pools.end(),
+                    [&instance](const auto& entry) { return entry.second.lacksLabelOf(instance); });
+            return { !isSpare, isWanted,
+                isSpare ? -instance.capacity.milliCores : instance.idleSince.time_since_epoch().count() };
+        }
+
+        void move(const SizedInstance& instance, const ServiceId& target)
+        {
+            m_taken.insert(instance.id);
+            m_moves.push_back({ instance.id, target });
+            if (auto* from = poolOf(instance.pool); from && instance.isUsable)
+                from->leave(instance);
+            if (auto* to = poolOf(target))
+                to->join(instance);
+        }
+
+        const std::vector<SizedInstance>& m_instances;
+        ServiceId m_spare;
+        double m_giveFactor;
+        std::map<ServiceId, PoolState> m_pools;
+        std::set<std::string> m_taken;
+        std::vector<PlannedMove> m_moves;
+    };
+
+} // namespace
+
+std::vector<PlannedMove> PoolSizer::plan(const std::map<ServiceId, PoolDemand>& demands,
+    const std::vector<SizedInstance>& instances, const ServiceId& spare, TimePoint now) const
+{
+    Plan plan(demands, instances, spare, m_limits);
+    plan.fillPools();
+    if (!spare.empty())
+        plan.emptyPools(m_limits.idleBeforeSpare, now);
+    return plan.takeMoves();
 }
 
 } // namespace marigoldlink
--- a/lib/Entry/CoordinatorPools.cpp
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -12,25 +12,61 @@
     constexpr Duration s_reportPeriod { 1000 };
     // The list shows a move that was accepted after at most so much more than the move itself takes.
     constexpr Duration s_listLag { 1500 };
+    // Wait before an instance whose move was refused is moved again.
+    constexpr Duration s_refusedMoveDelay { 1000 };
+
+    Resources times(const Resources& resources, int count)
+    {
+        return { resources.milliCores * count, resources.memoryMegabytes * count, resources.accelerators * count };
+    }
 
 } // namespace
 
-double Coordinator::occurrenceDemand(const Job& job, const Occurrence& occurrence) const
+Coordinator::LabelledNeed Coordinator::occurrenceNeed(
+    const Job& job, const Occurrence& occurrence, const FleetBounds& bounds) const
 {
     // What is ready or runs, or what comes after it if that is more: it is due before an instance could join.
-    double now = 0;
-    double next = 0;
+    LabelledNeed now;
+    LabelledNeed next;
     for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
         const auto& step = occurrence.steps[i];
         const auto& spec = job.spec.steps[i];
-        const auto open = static_cast<int>(step.tasks.size()) - step.done;
-        const auto milliCores = static_cast<double>(open) * static_cast<double>(spec.reserved().milliCores);
+        const int open = static_cast<int>(step.tasks.size()) - step.done;
+        const auto largest = bounds.find(spec.requiredLabel);
+        if (open <= 0 || largest == bounds.end() || !spec.reserved().fitsInto(largest->second))
+            continue;
+        const auto need = times(spec.reserved(), open);
+        auto* part = &next;
         if (step.active || m_jobs.isStepReady(job, occurrence, static_cast<int>(i)))
-            now += milliCores;
-        else if (followsOpenSteps(job, occurrence, spec))
-            next += milliCores;
+            part = &now;
+        else if (!followsOpenSteps(job, occurrence, spec))
+            continue;
+        (*part)[{}] += need;
+        if (!spec.requiredLabel.empty())
+            (*part)[spec.requiredLabel] += need;
+    }
+    for (const auto& [label, need] : next) {
+        auto& larger = now[label];
+        larger = larger.milliCores < need.milliCores ? need : larger;
+    }
+    return now;
+}
+
+Coordinator::FleetBounds Coordinator::fleetBounds() const
+{
+    FleetBounds bounds;
+    const auto extend = [&bounds](const std::string& label, const Resources& capacity) {
+        auto& largest = bounds[label];
+        largest.milliCores = std::max(largest.milliCores, capacity.milliCores);
+        largest.memoryMegabytes = std::max(largest.memoryMegabytes, capacity.memoryMegabytes);
+        largest.accelerators = std::max(largest.accelerators, capacity.accelerators);
+    };
+    for (const auto& [id, instance] : m_instances) {
+        extend({}, instance.capacity);
+        for (const auto& label : instance.labels)
+            extend(label, instance.capacity);
     }
-    return std::max(now, next);
+    return bounds;
 }
 
 bool Coordinator::followsOpenSteps(const Job& job, const Occurrence& occurrence, const StepSpec& spec) const
@@ -44,6 +80,7 @@
 std::map<ServiceId, PoolDemand> Coordinator::poolDemands(TimePoint now) const
 {
     std::map<ServiceId, PoolDemand> demands;
+    const auto bounds = fleetBounds();
     for (const auto& [id, pool] : m_operators.config.pools)
         demands[id];
     for (const auto& id : m_jobs.activeJobs()) {
@@ -52,18 +89,21 @@
         for (const auto& [number, occurrence] : job.occurrences) {
             if (job.finishedOccurrences.contains(number))
                 continue;
-            demand.milliCores += occurrenceDemand(job, occurrence);
+            for (const auto& [label, need] : occurrenceNeed(job, occurrence, bounds))
+                (label.empty() ? demand.whole : demand.byLabel[label]).need += need;
             for (const auto& spec : job.spec.steps) {
-                if (!spec.isService || !spec.mostPerWorker)
+                if (!spec.isService || !spec.mostPerWorker || !bounds.contains(spec.requiredLabel))
                     continue;
                 const int hosts = (spec.tasks + spec.mostPerWorker - 1) / spec.mostPerWorker;
-                demand.leastInstances = std::max(demand.leastInstances, hosts);
+                auto& part = spec.requiredLabel.empty() ? demand.whole : demand.byLabel[spec.requiredLabel];
+                part.leastInstances = std::max(part.leastInstances, hosts);
             }
         }
     }
     for (const auto& [id, rate] : m_arrivals) {
-        auto& demand = demands[id];
-        demand.milliCores = std::max(demand.milliCores, rate.milliCores(now));
+        auto& demand = demands[id].whole;
+        demand.need.milliCores
+            = std::max(demand.need.milliCores, static_cast<std::int64_t>(std::lround(rate.milliCores(now))));
         demand.leastInstances = std::max(demand.leastInstances, 1);
     }
     return demands;
@@ -74,7 +114,10 @@
     SizedInstance row;
     row.id = instance.id;
     row.pool = instance.pool;
-    row.milliCores = static_cast<double>(instance.capacity.milliCores);
+    row.capacity = instance.capacity;
+    row.labels = instance.labels;
+    if (const auto barred = m_barredPools.find(instance.id); barred != m_barredPools.end())
+        row.barredPools = barred->second;
     if (const auto move = m_moves.find(instance.id); move != m_moves.end()) {
         row.pool = move->second.pool;
         row.isUsable = true;
@@ -90,7 +133,9 @@
     // A worker that does not answer, or is about to leave, does not gain by a move.
     const bool isSound = isSpare || (worker && worker->isAnswering && !worker->entry.isDraining);
     const auto idle = m_idleSince.find(instance.id);
-    row.isMovable = isSound && !isEvacuated && idle != m_idleSince.end();
+    const auto refused = m_moveNotBefore.find(instance.id);
+    const bool isWaiting = refused != m_moveNotBefore.end() && now < refused->second;
+    row.isMovable = isSound && !isEvacuated && !isWaiting && idle != m_idleSince.end();
     row.idleSince = row.isMovable ? idle->second : now;
     return row;
 }
@@ -107,13 +152,16 @@
             if (row.pool != id)
                 continue;
             ++count;
-            capacity += row.isUsable ? row.milliCores : 0;
+            capacity += row.isUsable ? static_cast<double>(row.capacity.milliCores) : 0;
             const auto* worker = m_workers.find(m_instances.at(row.id).worker);
             used += worker ? static_cast<double>(worker->used.milliCores) : 0;
         }
         const auto cores = [](double milliCores) { return std::to_string(std::lround(milliCores / 1000)); };
         text += (text.empty() ? "" : "; ") + id.value() + ' ' + std::to_string(count) + " instances, cores "
-            + cores(capacity) + " usable, " + cores(used) + " used, " + cores(demand.milliCores) + " asked";
+            + cores(capacity) + " usable, " + cores(used) + " used, "
+            + cores(static_cast<double>(demand.whole.need.milliCores)) + " asked";
+        for (const auto& [label, part] : demand.byLabel)
+            text += ", " + cores(static_cast<double>(part.need.milliCores)) + " with " + label;
     }
     log("coordinator", std::to_string(m_term.fence), text);
 }
@@ -159,6 +207,17 @@
     }
 }
 
+void Coordinator::moveRefused(const std::string& instance, InstanceAnswer answer, TimePoint now)
+{
+    // After an unknown answer the list tells; until then it stays on its way.
+    if (answer == InstanceAnswer::Unknown)
+        return;
+    if (answer == InstanceAnswer::Invalid)
+        m_barredPools[instance].insert(m_moves.at(instance).pool);
+    m_moveNotBefore[instance] = now + s_refusedMoveDelay;
+    m_moves.erase(instance);
+}
+
 void Coordinator::moved(FleetInstance& instance, const ServiceId& pool, TimePoint now)
 {
     workerEnded(instance, now);
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -174,9 +174,7 @@
     log("instance", instance,
         std::string(isMove ? "move" : "maintenance") + " not done, kind " + std::to_string(static_cast<int>(answer)));
     if (isMove) {
-        // After an unknown answer the list tells; until then it stays on its way.
-        if (answer != InstanceAnswer::Unknown)
-            m_moves.erase(instance);
+        moveRefused(instance, answer, now);
     } else if (answer == InstanceAnswer::Unknown) {
         m_waves.unanswered(instance, now);
     } else {
--- a/unittests/Coordination/PlacementTest.cpp
+++ b/unittests/Coordination/PlacementTest.cpp
@@ -137,4 +137,39 @@
     EXPECT_EQ(ready[2].job->spec.id, JobId("lessUrgent"));
 }
 
+// Pattern: tasks that only some workers can run, beside tasks that any worker can.
+TEST(Placement, LeavesWorkersWithARequiredLabelToTheTasksThatRequireIt)
+{
+    JobBook jobs;
+    WorkerBook workers;
+    for (const char* id : { "w1", "w2" }) {
+        WorkerEntry entry;
+        entry.life.id = WorkerId(id);
+        entry.service = s_service;
+        entry.capacity = { 8000, 1000, 0 };
+        if (std::string_view(id) == "w1")
+            entry.labels.insert("fast");
+        workers.entryChanged(entry);
+    }
+    for (const char* label : { "", "fast" }) {
+        JobSpec spec;
+        spec.id = JobId(std::string("job") + label);
+        StepSpec step;
+        step.need = { 8000, 1, 0 };
+        step.requiredLabel = label;
+        spec.steps.push_back(step);
+        auto& job = jobs.accept(spec, queue(), s_now);
+        job.version = job.storedVersion = 1;
+    }
+    const FleetConfig config;
+    const TeamUse use;
+    const Placement placement(
+        jobs, workers, config, use, [](const Worker&) { return true; }, [](const Job&) { return true; });
+    const auto starts = placement.plan(s_now, 100);
+    ASSERT_EQ(starts.size(), 2u);
+    EXPECT_EQ(starts[0].task.job, JobId("job"));
+    EXPECT_EQ(starts[0].worker, WorkerId("w2"));
+    EXPECT_EQ(starts[1].worker, WorkerId("w1"));
+}
+
 } // namespace marigoldlink::testing
--- a/unittests/Coordination/PoolSizerTest.cpp
+++ b/unittests/Coordination/PoolSizerTest.cpp
@@ -13,11 +13,18 @@
     const ServiceId s_spare("spare");
     const ServiceId s_gates("gates");
     const ServiceId s_bookings("bookings");
-    constexpr double s_milliCores = 64000;
+    constexpr std::int64_t s_milliCores = 64000;
+    constexpr std::int64_t s_memory = 131072;
 
     SizedInstance instance(int number, const ServiceId& pool, bool isIdle = true)
     {
-        return { "i" + std::to_string(number), pool, s_milliCores, isIdle, pool != s_spare, TimePoint() };
+        return { "i" + std::to_string(number), pool, { s_milliCores, s_memory, 0 }, {}, isIdle, pool != s_spare,
+            TimePoint(), {} };
+    }
+
+    PoolDemand demand(double milliCores, int leastInstances)
+    {
+        return { { { static_cast<std::int64_t>(milliCores), 0, 0 }, leastInstances }, {} };
     }
 
     const TimePoint s_now { Duration(100000) };
@@ -35,8 +42,8 @@
     for (int i = 10; i < 14; ++i)
         instances.push_back(instance(i, s_gates, false));
     const PoolSizer sizer({});
-    const std::map<ServiceId, PoolDemand> demands { { s_gates, { 10 * s_milliCores / 1.15, 1 } },
-        { s_bookings, { s_milliCores / 2, 3 } } };
+    const std::map<ServiceId, PoolDemand> demands { { s_gates, demand(10 * s_milliCores / 1.15, 1) },
+        { s_bookings, demand(s_milliCores / 2, 3) } };
     const auto moves = sizer.plan(demands, instances, s_spare, s_now);
     int fromSpare = 0;
     int fromBookings = 0;
@@ -57,7 +64,7 @@
     for (int i = 0; i < 8; ++i)
         instances.push_back(instance(i, s_gates, i >= 3));
     const PoolSizer sizer({});
-    const auto moves = sizer.plan({ { s_gates, { s_milliCores, 3 } } }, instances, s_spare, s_now);
+    const auto moves = sizer.plan({ { s_gates, demand(s_milliCores, 3) } }, instances, s_spare, s_now);
     EXPECT_EQ(moves.size(), 5u);
     for (const auto& move : moves)
         EXPECT_EQ(move.pool, s_spare);
@@ -75,6 +82,91 @@
     EXPECT_LT(many.milliCores(s_now + Duration(4000)), 0.01 * many.milliCores(s_now));
 }
 
+// Pattern: tasks that only some instances can run. A pool with room enough is short all the same while none of its
+// instances has the label.
+TEST(PoolSizer, BringsInstancesWithTheLabelThatTasksRequire)
+{
+    std::vector<SizedInstance> instances;
+    for (int i = 0; i < 8; ++i) {
+        instances.push_back(instance(i, s_spare));
+        instances.back().labels = { i < 6 ? "small" : "large" };
+    }
+    for (int i = 8; i < 12; ++i)
+        instances.push_back(instance(i, s_gates, false));
+    auto asked = demand(s_milliCores, 1);
+    asked.byLabel["large"] = { { s_milliCores, 0, 0 }, 0 };
+    const auto moves = PoolSizer({}).plan({ { s_gates, asked } }, instances, s_spare, s_now);
+    ASSERT_EQ(moves.size(), 2u);
+    for (const auto& move : moves)
+        EXPECT_TRUE(move.instance == "i6" || move.instance == "i7") << move.instance;
+}
+
+TEST(PoolSizer, KeepsTheLastInstanceWithALabelThatIsAskedFor)
+{
+    std::vector<SizedInstance> instances;
+    for (int i = 0; i < 4; ++i) {
+        instances.push_back(instance(i, s_gates));
+        instances.back().labels = { i ? "small" : "large" };
+    }
+    auto asked = demand(s_milliCores / 2, 1);
+    asked.byLabel["large"] = { { s_milliCores / 2, 0, 0 }, 0 };
+    const auto moves = PoolSizer({}).plan({ { s_gates, asked } }, instances, s_spare, s_now);
+    EXPECT_EQ(moves.size(), 3u);
+    for (const auto& move : moves)
+        EXPECT_NE(move.instance, "i0");
+}
+
+// Seen in a trial with two kinds of instances: pools held idle ones of the kind that their waiting tasks cannot use,
+// and took more of them.
+TEST(PoolSizer, GivesWhatDoesNotHelpTheTasksThatWait)
+{
+    std::vector<SizedInstance> instances;
+    for (int i = 0; i < 4; ++i) {
+        instances.push_back(instance(i, i < 2 ? s_gates : s_spare));
+        instances.back().labels = { "small" };
+    }
+    auto asked = demand(10 * s_milliCores, 0);
+    asked.byLabel["large"] = asked.whole;
+    const std::map<ServiceId, PoolDemand> demands { { s_gates, asked }, { s_bookings, demand(2.4 * s_milliCores, 0) } };
+    const auto moves = PoolSizer({}).plan(demands, instances, s_spare, s_now);
+    std::map<ServiceId, int> joined;
+    for (const auto& move : moves)
+        ++joined[move.pool];
+    EXPECT_EQ(joined[s_gates], 0);
+    EXPECT_EQ(joined[s_bookings], 3);
+}
+
+// Pattern: tasks that take no processors of their own and much memory, as those that fill do.
+TEST(PoolSizer, MemoryAloneMakesAPoolShort)
+{
+    const std::vector<SizedInstance> instances { instance(0, s_gates, false), instance(1, s_spare),
+        instance(2, s_spare) };
+    PoolDemand asked { { { 0, 2 * s_memory, 0 }, 0 }, {} };
+    EXPECT_EQ(PoolSizer({}).plan({ { s_gates, asked } }, instances, s_spare, s_now).size(), 2u);
+}
+
+TEST(PoolSizer, APoolThatNothingHelpsDoesNotKeepOthersWaiting)
+{
+    std::vector<SizedInstance> instances { instance(0, s_spare), instance(1, s_spare) };
+    for (auto& row : instances)
+        row.barredPools = { s_gates };
+    const std::map<ServiceId, PoolDemand> demands { { s_gates, demand(s_milliCores, 1) },
+        { s_bookings, demand(s_milliCores / 2, 0) } };
+    const auto moves = PoolSizer({}).plan(demands, instances, s_spare, s_now);
+    ASSERT_EQ(moves.size(), 1u);
+    EXPECT_EQ(moves[0].pool, s_bookings);
+}
+
+// Pattern: a fleet of two sizes. All cost the same, so large ones are taken.
+TEST(PoolSizer, PrefersLargeSpareInstances)
+{
+    std::vector<SizedInstance> instances { instance(0, s_spare), instance(1, s_spare) };
+    instances[0].capacity.milliCores /= 2;
+    const auto moves = PoolSizer({}).plan({ { s_gates, demand(s_milliCores / 4, 0) } }, instances, s_spare, s_now);
+    ASSERT_EQ(moves.size(), 1u);
+    EXPECT_EQ(moves[0].instance, "i1");
+}
+
 RC_GTEST_PROP(PoolSizer, MovesOnlyIdleInstancesAndLeavesNoPoolShort, ())
 {
     auto choices = Choices::generate(30);
@@ -90,7 +182,7 @@
     for (const auto& pool : pools) {
         if (pool != s_spare)
             demands[pool]
-                = { static_cast<double>(choices.below(30)) * s_milliCores / 2, static_cast<int>(choices.below(6)) };
+                = demand(static_cast<double>(choices.below(30)) * s_milliCores / 2, static_cast<int>(choices.below(6)));
     }
     const PoolSizer sizer({});
     const auto moves = sizer.plan(demands, instances, s_spare, s_now);
@@ -110,14 +202,14 @@
     for (const auto& [id, demand] : demands) {
         if (!left[id])
             continue;
-        double capacity = 0;
+        std::int64_t capacity = 0;
         int members = 0;
         for (const auto& [name, pool] : poolOf) {
             capacity += pool == id ? s_milliCores : 0;
             members += pool == id;
         }
-        RC_ASSERT(capacity >= demand.milliCores);
-        RC_ASSERT(members >= demand.leastInstances);
+        RC_ASSERT(capacity >= demand.whole.need.milliCores);
+        RC_ASSERT(members >= demand.whole.leastInstances);
     }
 }
 
