Steps of queues that need advice start with tickets of the advice service

Cause: the advice service was decoded and never asked, so a queue that needs it would not start a task. The placement starts only where a ticket holds; a rejected ticket is asked for again. Ways weighed: asking about all workers at submission (30 workers cost a call of the longest kind for each step, also for steps of two tasks), asking for later steps ahead (tickets end after some seconds), and asking for a ready step's best few (chosen).

--- a/include/marigoldlink/Coordination/Placement.h
+++ b/include/marigoldlink/Coordination/Placement.h
@@ -3,6 +3,7 @@
 // Pure: it reads the books and returns starts; the caller records and sends them.
 #pragma once
 
+#include "marigoldlink/Coordination/AdviceBook.h"
 #include "marigoldlink/Coordination/JobBook.h"
 #include "marigoldlink/Coordination/WorkerBook.h"
 
@@ -36,6 +37,16 @@
     int step { 0 };
     TimePoint objective; // the job is worth most when it ends before this
     bool isLate { false }; // it cannot meet the objective any more
+
+    StepKey key() const { return { job->spec.id, occurrence, step }; }
+    const StepSpec& spec() const { return job->spec.steps[static_cast<std::size_t>(step)]; }
+};
+
+// Workers that could run a step whose queue needs advice, best first.
+struct AdviceNeed {
+    StepKey step;
+    std::vector<WorkerLife> candidates;
+    std::size_t workers { 0 }; // so many of them would take the tasks that wait
 };
 
 // Time that the rest of an occurrence needs at the least, by the callers' estimates.
@@ -50,11 +61,12 @@
     using IsAccountedFor = std::function<bool(const Job&)>;
 
     Placement(const JobBook& jobs, const WorkerBook& workers, const FleetConfig& config, const TeamUse& use,
-        IsUsable isUsable, IsAccountedFor isAccountedFor)
+        const AdviceBook& advice, IsUsable isUsable, IsAccountedFor isAccountedFor)
         : m_jobs(jobs)
         , m_workers(workers)
         , m_config(config)
         , m_use(use)
+        , m_advice(advice)
         , m_isUsable(std::move(isUsable))
         , m_isAccountedFor(std::move(isAccountedFor))
     {
@@ -63,8 +75,12 @@
     // While another coordinator may exist, a task that has run before is not started: its end may be known only there.
     void setFirstRunsOnly(bool isFirstRunsOnly) { m_isFirstRunsOnly = isFirstRunsOnly; }
 
-    // Starts to order now, most urgent first, at most so many.
-    std::vector<PlannedStart> plan(TimePoint now, std::size_t most) const;
+    struct Result {
+        std::vector<PlannedStart> starts; // most urgent first
+        std::vector<AdviceNeed> adviceNeeds; // of steps that wait for it, most urgent first
+    };
+    // Starts to order now, at most so many.
+    Result plan(TimePoint now, std::size_t most) const;
 
     // Steps that wait, most urgent first.
     std::vector<ReadyStep> readySteps(TimePoint now) const;
@@ -72,13 +88,17 @@
 private:
     struct Candidates;
     bool mayStart(const Task&, TimePoint now) const;
-    void planStep(const ReadyStep&, TimePoint now, Candidates&, std::size_t most, std::vector<PlannedStart>&) const;
-    void planGang(const ReadyStep&, TimePoint now, Candidates&, std::vector<PlannedStart>&) const;
+    // Both return how many tasks of the step are left without a worker.
+    std::size_t planStep(
+        const ReadyStep&, TimePoint now, Candidates&, std::size_t most, std::vector<PlannedStart>&) const;
+    std::size_t planGang(const ReadyStep&, TimePoint now, Candidates&, std::vector<PlannedStart>&) const;
+    AdviceNeed adviceNeed(const ReadyStep&, std::size_t tasks, const Candidates&) const;
 
     const JobBook& m_jobs;
     const WorkerBook& m_workers;
     const FleetConfig& m_config;
     const TeamUse& m_use;
+    const AdviceBook& m_advice;
     IsUsable m_isUsable;
     IsAccountedFor m_isAccountedFor;
     bool m_isFirstRunsOnly { false };
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -68,6 +68,7 @@
     void lookAnswered(const WorkerLife&, const LookAnswer&, TimePoint now);
     void journalAnswered(JournalAnswer, Revision head, TimePoint now);
     void headRead(Revision head, std::uint64_t number, TimePoint now);
+    void adviceAnswered(const AdviceOrder&, const AdviceAnswer&, TimePoint now);
     void instanceAnswered(const std::string& instance, InstanceAnswer, TimePoint now);
 
     // Does what is due. The wall clock is in Unix milliseconds.
@@ -112,6 +113,7 @@
     void placeTasks(TimePoint now);
     // Places again at that time: a task or a worker that is left out for a while may be used again.
     void placeAgainAt(TimePoint time) { m_nextPlacement = std::min(m_nextPlacement, time); }
+    void askAdvice(const AdviceNeed&, TimePoint now);
     // Counts a run against its worker and its team.
     void occupy(const WorkerId&, const TaskKey&, RunNumber);
     void orderStart(const PlannedStart&, TimePoint now);
@@ -173,6 +175,7 @@
     JobBook m_jobs;
     WorkerBook m_workers;
     TeamUse m_use;
+    AdviceBook m_advice { {} };
     std::map<JobId, std::vector<PendingReply>> m_replies;
     std::map<std::string, StoredMark> m_waitingMarks; // by record key
     std::map<std::string, StoredMark> m_batchMarks; // of the batch under way
--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -306,7 +306,12 @@
         }));
     }
 
-    void carryOut(const AdviceOrder&) { }
+    void carryOut(const AdviceOrder& order)
+    {
+        m_platform.advise(order, answered([this, order](const AdviceAnswer& answer) {
+            m_coordinator.adviceAnswered(order, answer, m_loop.now());
+        }));
+    }
 
     void carryOut(const ReplyOrder& order) { m_onReply(order.token, order.reply); }
 
--- a/include/marigoldlink/Entry/FleetPlatform.h
+++ b/include/marigoldlink/Entry/FleetPlatform.h
@@ -54,6 +54,7 @@
 using StopOrderCallback = std::function<void(StopAnswer)>;
 using LookCallback = std::function<void(LookAnswer)>;
 using FleetListCallback = std::function<void(std::optional<std::vector<FleetInstance>>)>;
+using AdviceCallback = std::function<void(AdviceAnswer)>;
 using InstanceCallback = std::function<void(InstanceAnswer)>;
 
 template <typename T>
@@ -62,7 +63,7 @@
     std::uint64_t fence, RangeCallback onRange, StoreWriteCallback onWrite, StoreLeaseCallback onLease,
     const StartOrder& start, StartCallback onStart, const StopOrder& stop, StopOrderCallback onStop,
     const LookOrder& look, LookCallback onLook, const PaceOrder& pace, FleetListCallback onList, const MoveOrder& move,
-    const MaintainOrder& maintain, InstanceCallback onInstance)
+    const MaintainOrder& maintain, InstanceCallback onInstance, const AdviceOrder& advise, AdviceCallback onAdvice)
 {
     // The key-value service.
     platform.range(text, onRange);
@@ -95,6 +96,9 @@
     platform.look(look, fence, onLook);
     platform.pace(pace, fence);
 
+    // The service that knows which workers may run a step.
+    platform.advise(advise, onAdvice);
+
     // The instances.
     platform.listInstances(onList);
     platform.move(move, fence, onInstance);
--- a/include/marigoldlink/Entry/Orders.h
+++ b/include/marigoldlink/Entry/Orders.h
@@ -1,6 +1,7 @@
 // What a coordinator asks of the outside, and what it hears from there. The platform's adapter carries the orders out.
 #pragma once
 
+#include "marigoldlink/Coordination/AdviceBook.h"
 #include "marigoldlink/Coordination/Journal.h"
 #include "marigoldlink/State/Fleet.h"
 
@@ -74,10 +75,8 @@
 
 // Asks which of the workers may run a step.
 struct AdviceOrder {
-    JobId job;
-    int occurrence { 0 };
-    int step { 0 };
-    std::vector<WorkerId> workers;
+    StepKey step;
+    std::vector<WorkerLife> workers;
 };
 
 struct Reply {
@@ -147,6 +146,12 @@
     std::vector<ListedEnd> ended;
 };
 
+struct AdviceAnswer {
+    bool isAnswered { false };
+    std::map<WorkerId, std::string> tickets; // of the workers that may run the step
+    Duration valid { 0 }; // of each ticket, from its making on
+};
+
 enum class InstanceAnswer { Done, StaleFence, Busy, NotInWave, Invalid, Refused, Unknown };
 
 } // namespace marigoldlink
--- a/include/marigoldlink/State/Jobs.h
+++ b/include/marigoldlink/State/Jobs.h
@@ -62,6 +62,16 @@
     std::int64_t dueUnixMs(int occurrence) const { return firstUnixMs + occurrence * intervalMs; }
 };
 
+// Names one step of one occurrence of a job.
+struct StepKey {
+    JobId job;
+    int occurrence { 0 };
+    int step { 0 };
+
+    friend auto operator<=>(const StepKey&, const StepKey&) = default;
+    std::string text() const;
+};
+
 // Names one task of a job.
 struct TaskKey {
     JobId job;
@@ -72,6 +82,7 @@
     friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
     friend std::ostream& operator<<(std::ostream&, const TaskKey&);
     std::string text() const;
+    StepKey stepKey() const { return { job, occurrence, step }; }
 };
 
 // Number of one start of a task. It rises with each start, also when the coordinator changes.
--- a/lib/Coordination/Placement.cpp
+++ b/lib/Coordination/Placement.cpp
@@ -110,6 +110,8 @@
     std::map<ServiceId, std::vector<Row>> byService;
     TeamUse use;
     std::map<ServiceId, std::set<std::string>> requiredLabels; // by active jobs
+    const AdviceBook* advice;
+    TimePoint now;
 
     // Whether a task that could run elsewhere would take the room of tasks that cannot.
     bool isKeptForOthers(const Row& row, const StepSpec& spec, const ReadyStep& step) const
@@ -130,6 +132,11 @@
             + (planned == row.planned.end() ? 0 : planned->second);
     }
 
+    bool mayRun(const Row& row, const ReadyStep& step) const
+    {
+        return !step.job->queue.needsAdvice || advice->ticket(step.key(), row.worker->entry.life, now);
+    }
+
     bool suits(const Row& row, const StepSpec& spec, const ReadyStep& step) const
     {
         if (!spec.reserved().fitsInto(row.room))
@@ -139,13 +146,30 @@
         return !spec.mostPerWorker || ofStep(row, step) < spec.mostPerWorker;
     }
 
+    // How many more tasks of the step a row can take; at least one where it suits.
+    std::size_t tasksThatFit(const Row& row, const StepSpec& spec, const ReadyStep& step) const
+    {
+        auto fit = std::numeric_limits<std::int64_t>::max();
+        const auto bound = [&fit](std::int64_t room, std::int64_t need) {
+            if (need > 0)
+                fit = std::min(fit, room / need);
+        };
+        const auto reserved = spec.reserved();
+        bound(row.room.milliCores, reserved.milliCores);
+        bound(row.room.memoryMegabytes, reserved.memoryMegabytes);
+        bound(row.room.accelerators, reserved.accelerators);
+        if (spec.mostPerWorker)
+            fit = std::min<std::int64_t>(fit, spec.mostPerWorker - ofStep(row, step));
+        return static_cast<std::size_t>(std::max<std::int64_t>(1, fit));
+    }
+
     // The best worker for one more task of the step, or null. Smaller cost is better.
     Row* best(const StepSpec& spec, const ReadyStep& step, const RackId& rack)
     {
         Row* chosen = nullptr;
         auto lowest = std::numeric_limits<double>::max();
         for (auto& row : byService[step.job->queue.service]) {
-            if (!suits(row, spec, step) || (!rack.empty() && row.worker->entry.rack != rack))
+            if (!suits(row, spec, step) || (!rack.empty() && row.worker->entry.rack != rack) || !mayRun(row, step))
                 continue;
             const auto cost = costOf(row, spec, step);
             if (cost < lowest) {
@@ -178,12 +202,13 @@
     }
 };
 
-std::vector<PlannedStart> Placement::plan(TimePoint now, std::size_t most) const
+Placement::Result Placement::plan(TimePoint now, std::size_t most) const
 {
+    Result result;
     const auto ready = readySteps(now);
     if (ready.empty())
-        return {};
-    Candidates candidates { {}, m_use, {} };
+        return result;
+    Candidates candidates { {}, m_use, {}, &m_advice, now };
     for (const auto& id : m_jobs.activeJobs()) {
         const auto& job = *m_jobs.find(id);
         for (const auto& spec : job.spec.steps) {
@@ -195,18 +220,39 @@
         if (m_isUsable(worker))
             candidates.byService[worker.entry.service].push_back({ &worker, worker.room(), {} });
     }
-    std::vector<PlannedStart> starts;
     for (const auto& step : ready) {
-        if (starts.size() >= most)
+        if (result.starts.size() >= most)
             break;
         if (candidates.byService[step.job->queue.service].empty())
             continue;
-        if (step.job->spec.steps[index(step.step)].isGang)
-            planGang(step, now, candidates, starts);
-        else
-            planStep(step, now, candidates, most, starts);
+        const auto left = step.spec().isGang ? planGang(step, now, candidates, result.starts)
+                                             : planStep(step, now, candidates, most, result.starts);
+        if (left && step.job->queue.needsAdvice)
+            result.adviceNeeds.push_back(adviceNeed(step, left, candidates));
     }
-    return starts;
+    return result;
+}
+
+AdviceNeed Placement::adviceNeed(const ReadyStep& ready, std::size_t tasks, const Candidates& candidates) const
+{
+    AdviceNeed need { ready.key(), {}, 0 };
+    const auto& spec = ready.spec();
+    std::vector<std::pair<double, const Candidates::Row*>> suitable;
+    for (const auto& row : candidates.byService.at(ready.job->queue.service)) {
+        if (candidates.suits(row, spec, ready))
+            suitable.emplace_back(candidates.costOf(row, spec, ready), &row);
+    }
+    std::stable_sort(
+        suitable.begin(), suitable.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
+    std::size_t placed = 0;
+    for (const auto& [cost, row] : suitable) {
+        need.candidates.push_back(row->worker->entry.life);
+        if (placed >= tasks)
+            continue;
+        ++need.workers;
+        placed += candidates.tasksThatFit(*row, spec, ready);
+    }
+    return need;
 }
 
 bool Placement::mayStart(const Task& task, TimePoint now) const
@@ -216,7 +262,7 @@
     return !m_isFirstRunsOnly || task.lastRun == RunNumber();
 }
 
-void Placement::planStep(const ReadyStep& ready, TimePoint now, Candidates& candidates, std::size_t most,
+std::size_t Placement::planStep(const ReadyStep& ready, TimePoint now, Candidates& candidates, std::size_t most,
     std::vector<PlannedStart>& starts) const
 {
     const auto& job = *ready.job;
@@ -225,17 +271,22 @@
     const auto* limits = team == m_config.teams.end() ? nullptr : &team->second;
     const auto& tasks = job.occurrences.at(ready.occurrence).steps[index(ready.step)].tasks;
     RackId rack;
+    std::size_t left = 0;
     for (std::size_t i = 0; i < tasks.size() && starts.size() < most; ++i) {
         const auto& task = tasks[i];
         if (!mayStart(task, now))
             continue;
         if (!candidates.use.allows(limits, job.spec.team, spec.need))
-            return;
+            return left;
         auto* row = candidates.best(spec, ready, rack);
         if (!row && !rack.empty())
             row = candidates.best(spec, ready, {});
-        if (!row)
-            return;
+        if (!row) {
+            ++left;
+            if (!job.queue.needsAdvice)
+                return left;
+            continue;
+        }
         if (spec.wantsOneRack)
             rack = row->worker->entry.rack;
         const TaskKey key { job.spec.id, ready.occurrence, ready.step, static_cast<int>(i) };
@@ -244,9 +295,10 @@
         ++row->planned[{ job.spec.id, ready.occurrence, ready.step }];
         candidates.use.add(job.spec.team, spec.need);
     }
+    return left;
 }
 
-void Placement::planGang(
+std::size_t Placement::planGang(
     const ReadyStep& ready, TimePoint now, Candidates& candidates, std::vector<PlannedStart>& starts) const
 {
     const auto& job = *ready.job;
@@ -257,7 +309,7 @@
     // A gang starts anew only when nothing of its last run is left.
     if (step.active || step.done
         || std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) { return !mayStart(task, now); }))
-        return;
+        return 0;
     std::set<RackId> racks { {} };
     if (spec.wantsOneRack) {
         for (const auto& row : candidates.byService[job.queue.service])
@@ -272,7 +324,7 @@
         std::vector<PlannedStart> gang;
         for (std::size_t i = 0; i < step.tasks.size(); ++i) {
             if (!trial.use.allows(limits, job.spec.team, spec.need))
-                return;
+                return 0;
             auto* row = trial.best(spec, ready, rack);
             if (!row)
                 break;
@@ -286,8 +338,9 @@
             continue;
         candidates = std::move(trial);
         starts.insert(starts.end(), gang.begin(), gang.end());
-        return;
+        return 0;
     }
+    return step.tasks.size();
 }
 
 } // namespace marigoldlink
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -170,6 +170,7 @@
     if (m_jobs.cancel(id, now)) {
         log("job", id.value(), "cancelled");
         stopRunsOf(*job, now);
+        m_advice.forget(id);
         m_nextFlush = std::min(m_nextFlush, now + s_submissionDelay);
         m_nextTick = std::min(m_nextTick, now + s_submissionDelay);
     }
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -13,8 +13,6 @@
     constexpr Duration s_stopRetryDelay { 400 };
     // Wait before a task whose start was rejected is placed again.
     constexpr Duration s_rejectedDelay { 60 };
-    // Tickets are not fetched yet; a queue that needs them is tried now and then.
-    constexpr Duration s_noTicketDelay { 1000 };
     // A worker is left out for so long after it failed or rejected several starts in a row.
     constexpr Duration s_distrust { 3000 };
     constexpr double s_distrustAbove = 3;
@@ -63,19 +61,48 @@
         return;
     m_mustPlace = false;
     Placement placement(
-        m_jobs, m_workers, m_operators.config, m_use,
+        m_jobs, m_workers, m_operators.config, m_use, m_advice,
         [this, now](const Worker& worker) { return isUsable(worker, now); },
         [this, now](const Job& job) { return isAccountedFor(job, now); });
     placement.setFirstRunsOnly(!isSure(now));
-    const auto starts = placement.plan(now, s_startsPerTick);
+    const auto [starts, adviceNeeds] = placement.plan(now, s_startsPerTick);
     for (const auto& start : starts)
         orderStart(start, now);
+    for (const auto& need : adviceNeeds)
+        askAdvice(need, now);
     if (starts.size() == s_startsPerTick) {
         m_mustPlace = true;
         m_nextTick = now + Duration(1);
     }
 }
 
+void Coordinator::askAdvice(const AdviceNeed& need, TimePoint now)
+{
+    if (now < m_advice.nextCallAt()) {
+        placeAgainAt(m_advice.nextCallAt());
+        return;
+    }
+    auto asked = m_advice.nextCall(need.step, need.candidates, need.workers, now);
+    if (asked.empty())
+        return;
+    m_orders.emplace_back(AdviceOrder { need.step, std::move(asked) });
+}
+
+void Coordinator::adviceAnswered(const AdviceOrder& order, const AdviceAnswer& answer, TimePoint now)
+{
+    if (answer.isAnswered) {
+        m_advice.answered(order.step, order.workers, answer.tickets, answer.valid, now);
+        log("step", order.step.text(),
+            "may run on " + std::to_string(answer.tickets.size()) + " of " + std::to_string(order.workers.size())
+                + " workers asked about");
+    } else {
+        m_advice.failed(order.step, now);
+        log("step", order.step.text(), "no advice: the service did not take the call or did not answer");
+    }
+    m_mustPlace = true;
+    m_nextTick = now;
+}
+
 void Coordinator::occupy(const WorkerId& id, const TaskKey& key, RunNumber run)
 {
     const auto* job = m_jobs.find(key.job);
@@ -96,10 +123,11 @@
     auto& worker = *m_workers.find(start.worker);
     const auto& job = *m_jobs.find(start.task.job);
     const auto checkpoint = m_jobs.findTask(start.task)->checkpoint;
+    const auto* ticket = m_advice.ticket(start.task.stepKey(), worker.entry.life, now);
     m_jobs.runOrdered(start.task, start.run, start.worker, now);
     occupy(start.worker, start.task, start.run);
     m_orders.emplace_back(StartOrder { worker.entry.life, worker.entry.endpoint, start.task, start.run,
-        job.spec.payload, checkpoint, {}, worker.lease.extend(now, m_settings.lease) });
+        job.spec.payload, checkpoint, ticket ? *ticket : std::string(), worker.lease.extend(now, m_settings.lease) });
 }
 
 void Coordinator::startAnswered(
@@ -154,7 +182,9 @@
         log("worker", life.id.value(), "left out for a while: refuses starts");
     }
     runOver(life.id, key, run, RunEnd::Lost, {}, now);
-    const auto again = now + (answer == StartAnswer::NoTicket ? s_noTicketDelay : s_rejectedDelay);
+    if (answer == StartAnswer::NoTicket)
+        m_advice.rejected(key.stepKey(), life);
+    const auto again = now + s_rejectedDelay;
     if (auto* task = m_jobs.findTask(key))
         task->notBefore = again;
     placeAgainAt(again);
@@ -243,6 +273,7 @@
     if (wasActive && !job->isActive()) {
         log("job", key.job.value(), std::string("ended: ") + name(job->state));
         stopRunsOf(*job, now);
+        m_advice.forget(key.job);
         m_nextFlush = std::min(m_nextFlush, now);
     }
     m_mustPlace = true;
--- a/lib/State/Jobs.cpp
+++ b/lib/State/Jobs.cpp
@@ -33,11 +33,13 @@
     return reserved;
 }
 
-std::string TaskKey::text() const
+std::string StepKey::text() const
 {
-    return job.value() + '.' + std::to_string(occurrence) + '.' + std::to_string(step) + '.' + std::to_string(index);
+    return job.value() + '.' + std::to_string(occurrence) + '.' + std::to_string(step);
 }
 
+std::string TaskKey::text() const { return stepKey().text() + '.' + std::to_string(index); }
+
 std::ostream& operator<<(std::ostream& out, const TaskKey& key) { return out << key.text(); }
 
 const char* name(JobState state)
--- a/unittests/Coordination/PlacementTest.cpp
+++ b/unittests/Coordination/PlacementTest.cpp
@@ -12,6 +12,7 @@
     const ServiceId s_service("gates");
     const TeamId s_team("team");
     const TimePoint s_now { Duration(100000) };
+    const AdviceBook noAdvice { {} };
 
     JobQueue queue(int priority = 0)
     {
@@ -78,8 +79,8 @@
     }
     const TeamUse use;
     const Placement placement(
-        jobs, workers, config, use, [](const Worker&) { return true; }, [](const Job&) { return true; });
-    const auto starts = placement.plan(s_now, 100);
+        jobs, workers, config, use, noAdvice, [](const Worker&) { return true; }, [](const Job&) { return true; });
+    const auto starts = placement.plan(s_now, 100).starts;
     std::map<WorkerId, Resources> used;
     std::map<std::tuple<WorkerId, JobId, int>, int> ofStep;
     std::map<std::pair<JobId, int>, int> gangs;
@@ -129,7 +130,7 @@
     const FleetConfig config;
     const TeamUse use;
     const Placement placement(
-        jobs, workers, config, use, [](const Worker&) { return true; }, [](const Job&) { return true; });
+        jobs, workers, config, use, noAdvice, [](const Worker&) { return true; }, [](const Job&) { return true; });
     const auto ready = placement.readySteps(s_now);
     ASSERT_EQ(ready.size(), 3u);
     EXPECT_EQ(ready[0].job->spec.id, JobId("fresh"));
@@ -164,8 +165,8 @@
     const FleetConfig config;
     const TeamUse use;
     const Placement placement(
-        jobs, workers, config, use, [](const Worker&) { return true; }, [](const Job&) { return true; });
-    const auto starts = placement.plan(s_now, 100);
+        jobs, workers, config, use, noAdvice, [](const Worker&) { return true; }, [](const Job&) { return true; });
+    const auto starts = placement.plan(s_now, 100).starts;
     ASSERT_EQ(starts.size(), 2u);
     EXPECT_EQ(starts[0].task.job, JobId("job"));
     EXPECT_EQ(starts[0].worker, WorkerId("w2"));
--- a/unittests/Entry/CoordinatorHarness.h
+++ b/unittests/Entry/CoordinatorHarness.h
@@ -134,6 +134,7 @@
     std::vector<MaintainOrder> maintenance;
     std::vector<MoveOrder> moves;
     std::vector<ReplyOrder> replies;
+    std::vector<AdviceOrder> adviceCalls;
     std::optional<JournalBatch> batch;
     int lists { 0 };
     std::uint64_t revision { 1 };
@@ -159,6 +160,8 @@
                     moves.push_back(typed);
                 else if constexpr (std::is_same_v<Type, ReplyOrder>)
                     replies.push_back(typed);
+                else if constexpr (std::is_same_v<Type, AdviceOrder>)
+                    adviceCalls.push_back(typed);
                 else if constexpr (std::is_same_v<Type, JournalOrder>)
                     batch = typed.batch;
                 else if constexpr (std::is_same_v<Type, ListInstancesOrder>)
--- a/unittests/Platform/DecodersTest.cpp
+++ b/unittests/Platform/DecodersTest.cpp
@@ -1,4 +1,5 @@
 // Records and answers of other writers: whole, malformed and mutilated.
+#include "platform/AdviceCalls.h"
 #include "platform/CallerWire.h"
 #include "platform/OperatorRecords.h"
 #include "platform/WorkerCalls.h"
@@ -20,6 +21,7 @@
           R"("max_count":{"cpu":100,"mem_mb":200,"gpu":0}}]})";
     const std::string s_look = R"({"clock_ms":482113,"born":5,"running":[["5c0e.0.1.17",2,"abc",41,7]],)"
                                R"("ended_runs":[[58,"5c0e.0.1.9",1,"done",""],[59,"5c0e.0.1.10",1,"no such end",""]]})";
+    const std::string s_advice = R"({"good":[["i-1","c81e-7a21d94b"],["i-2"],7,["i-3",5]],"valid_ms":3000})";
     const std::string s_job
         = R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"est_ms":900,"affinity":"r1-3"},)"
           R"({"count":20,"cpu":2000,"after":[0],"checkpoint":true,"max_per_server":2}],"times":3,"start_ms":5,"interval_ms":9})";
@@ -112,12 +114,23 @@
     EXPECT_FALSE(decodeJobBody(R"({"steps":[{"count":1,"after":[0]}]})")) << "a step after itself";
 }
 
+TEST(Decoders, Advice)
+{
+    const auto advice = decodeAdvice(s_advice);
+    ASSERT_TRUE(advice.isAnswered);
+    EXPECT_EQ(advice.valid, Duration(3000));
+    EXPECT_EQ(advice.tickets, (std::map<WorkerId, std::string> { { WorkerId("i-1"), "c81e-7a21d94b" } }));
+    EXPECT_TRUE(decodeAdvice(R"({"good":[],"valid_ms":3000})").isAnswered);
+    EXPECT_FALSE(decodeAdvice("{}").isAnswered);
+    EXPECT_FALSE(decodeAdvice(R"({"good":7})").isAnswered);
+}
+
 // Bytes of the records are changed, cut and doubled; every decoder has to return.
 TEST(Decoders, MutilatedBytesAreSurvived)
 {
     std::mt19937 generator(20261204);
     for (int round = 0; round < 4000; ++round) {
-        for (const auto& whole : { s_worker, s_config, s_look, s_job }) {
+        for (const auto& whole : { s_worker, s_config, s_look, s_job, s_advice }) {
             auto text = whole;
             const auto edits = 1 + generator() % 4;
             for (std::uint32_t i = 0; i < edits && !text.empty(); ++i) {
@@ -139,6 +152,7 @@
             decodeWorker(stored("servers/i-1", text));
             decodeOperators({ stored("op/config", text), stored("op/wave/1", text) });
             decodeLook(text);
+            decodeAdvice(text);
             decodeJobBody(text);
             parseTaskName(text);
         }
