--- a/include/marigoldlink/Coordination/Journal.h
+++ b/include/marigoldlink/Coordination/Journal.h
@@ -30,6 +30,7 @@
     Unknown, // it may have been done, or may be done later
     Conflict, // the head has another revision or is gone
 };
+const char* name(JournalAnswer);
 
 class Journal {
 public:
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -9,6 +9,7 @@
 #include "marigoldlink/Coordination/PoolSizer.h"
 #include "marigoldlink/Coordination/WavePlan.h"
 #include "marigoldlink/Coordination/WorkerBook.h"
+#include "marigoldlink/Entry/Measurements.h"
 #include "marigoldlink/Entry/Orders.h"
 
 #include <functional>
@@ -34,11 +35,17 @@
     std::string text;
 };
 
+using DecisionLog = std::function<void(const Decision&)>;
+
+// Where a coordinator tells of what it decides and measures. Either may be empty.
+struct CoordinatorSinks {
+    DecisionLog log;
+    MeasurementSink measure;
+};
+
 class Coordinator {
 public:
-    using DecisionLog = std::function<void(const Decision&)>;
-
-    Coordinator(CoordinatorSettings, Term, Journal, TimePoint now, DecisionLog);
+    Coordinator(CoordinatorSettings, Term, Journal, TimePoint now, CoordinatorSinks);
 
     // The state of the store, to be told before the first tick.
     void restoreJob(JobSpec, const JobProgress&, TimePoint now);
@@ -98,6 +105,7 @@
     };
 
     void log(const std::string& subject, const std::string& id, const std::string& text) const;
+    void measure(const Measurement&) const;
     const JobQueue& queueOf(const JobSpec&) const;
 
     // Jobs and the journal.
@@ -170,7 +178,7 @@
     Journal m_journal;
     TimePoint m_startedAt;
     TimePoint m_sureUntil { TimePoint::max() };
-    DecisionLog m_log;
+    CoordinatorSinks m_sinks;
     OperatorState m_operators;
     JobBook m_jobs;
     WorkerBook m_workers;
@@ -179,6 +187,7 @@
     std::map<JobId, std::vector<PendingReply>> m_replies;
     std::map<std::string, StoredMark> m_waitingMarks; // by record key
     std::map<std::string, StoredMark> m_batchMarks; // of the batch under way
+    TimePoint m_batchSentAt;
     std::uint64_t m_batchNumber { 0 }; // of the batch that was sent last
     std::set<WorkerId> m_unrecorded; // workers whose record is not given to the journal yet
     std::set<JobId> m_unwritten; // accepted, and the record not given to the journal yet
--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -23,12 +23,12 @@
     using OnDeposed = std::function<void()>;
 
     CoordinatorRunner(EventLoop& loop, Platform& platform, CoordinatorSettings settings, const Ownership& ownership,
-        Coordinator::DecisionLog log, OnReply onReply, OnDeposed onDeposed)
+        CoordinatorSinks sinks, OnReply onReply, OnDeposed onDeposed)
         : m_loop(loop)
         , m_platform(platform)
         , m_ownership(ownership)
         , m_coordinator(std::move(settings), { fence(), ownership.term, ownership.hasPredecessorResigned },
-              Journal(ownership.headRevision), loop.now(), std::move(log))
+              Journal(ownership.headRevision), loop.now(), std::move(sinks))
         , m_onReply(std::move(onReply))
         , m_onDeposed(std::move(onDeposed))
         , m_workers(std::make_shared<StoreFollower<Platform>>(loop, platform, platform.workerPrefix(),
--- /dev/null
+++ b/include/marigoldlink/Entry/FleetMetrics.h
@@ -0,0 +1,30 @@
+// Metrics of an entry instance: counters, gauges, and histograms by team and priority, in Prometheus' text form.
+#pragma once
+
+#include "marigoldlink/Entry/Measurements.h"
+
+#include <memory>
+#include <string>
+
+namespace marigoldlink {
+
+class FleetMetrics {
+public:
+    FleetMetrics();
+    ~FleetMetrics();
+
+    void take(const CallReport&);
+    // Something the coordinator measured.
+    void take(const Measurement&);
+    // Coordinator here or not. The gauges of pools and jobs are zero while it is not.
+    void setCoordinator(bool isCoordinator);
+    void countUnloggedDecisions(int count);
+
+    std::string text() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace marigoldlink
--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -35,11 +35,11 @@
 
 template <FleetPlatform Platform> class FleetNode {
 public:
-    FleetNode(EventLoop& loop, Platform& platform, NodeSettings settings, Coordinator::DecisionLog log)
+    FleetNode(EventLoop& loop, Platform& platform, NodeSettings settings, CoordinatorSinks sinks)
         : m_loop(loop)
         , m_platform(platform)
         , m_settings(std::move(settings))
-        , m_log(std::move(log))
+        , m_sinks(std::move(sinks))
         , m_client(loop)
         , m_server(loop, {},
               [this](
@@ -67,6 +67,7 @@
 
     const OperatorState& operators() const { return m_operators; }
     bool isReady() const { return m_operators.hasConfig(); }
+    bool isCoordinator() const { return m_runner != nullptr; }
 
     // Brings the call to the coordinator, and calls back once, before the time is over.
     void call(FleetCallRequest request, Duration time, CallCallback callback)
@@ -116,7 +117,7 @@
         }
         m_waitingOwnership.reset();
         m_runner = std::make_shared<CoordinatorRunner<Platform>>(
-            m_loop, m_platform, m_settings.coordinator, ownership, m_log,
+            m_loop, m_platform, m_settings.coordinator, ownership, m_sinks,
             [this](CallToken token, const Reply& reply) { replied(token, reply); }, [this] { m_election.resign(); });
         m_runner->setSureUntil(m_election.sureUntil());
         m_runner->start(m_operators);
@@ -403,7 +404,7 @@
     EventLoop& m_loop;
     Platform& m_platform;
     NodeSettings m_settings;
-    Coordinator::DecisionLog m_log;
+    CoordinatorSinks m_sinks;
     HttpClient m_client;
     HttpServer m_server;
     StoreFollower<Platform> m_operatorFollower;
--- a/include/marigoldlink/Entry/Orders.h
+++ b/include/marigoldlink/Entry/Orders.h
@@ -118,6 +118,8 @@
     Unknown, // it may run, or may start later
 };
 
+const char* name(StartAnswer);
+
 enum class StopAnswer { Stopping, StaleFence, OtherLife, Invalid, NotSent, Unknown };
 
 struct ListedRun {
@@ -153,5 +155,6 @@
 };
 
 enum class InstanceAnswer { Done, StaleFence, Busy, NotInWave, Invalid, Refused, Unknown };
+const char* name(InstanceAnswer);
 
 } // namespace marigoldlink
--- a/lib/Coordination/Journal.cpp
+++ b/lib/Coordination/Journal.cpp
@@ -5,6 +5,21 @@
 
 namespace marigoldlink {
 
+const char* name(JournalAnswer answer)
+{
+    switch (answer) {
+    case JournalAnswer::Stored:
+        return "stored";
+    case JournalAnswer::Refused:
+        return "refused";
+    case JournalAnswer::Unknown:
+        return "unknown";
+    case JournalAnswer::Conflict:
+        return "conflict";
+    }
+    return "unknown";
+}
+
 void Journal::put(const std::string& key, std::string value)
 {
     const auto [position, isNew] = m_waiting.insert_or_assign(key, std::move(value));
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -70,12 +70,13 @@
 
 } // namespace
 
-Coordinator::Coordinator(CoordinatorSettings settings, Term term, Journal journal, TimePoint now, DecisionLog log)
+Coordinator::Coordinator(
+    CoordinatorSettings settings, Term term, Journal journal, TimePoint now, CoordinatorSinks sinks)
     : m_settings(std::move(settings))
     , m_term(term)
     , m_journal(std::move(journal))
     , m_startedAt(now)
-    , m_log(std::move(log))
+    , m_sinks(std::move(sinks))
     , m_waves({ m_settings.maintenanceTime, s_wavePatience })
     , m_nextTick(now)
 {
@@ -83,8 +84,14 @@
 
 void Coordinator::log(const std::string& subject, const std::string& id, const std::string& text) const
 {
-    if (m_log)
-        m_log({ subject, id, text });
+    if (m_sinks.log)
+        m_sinks.log({ subject, id, text });
+}
+
+void Coordinator::measure(const Measurement& measurement) const
+{
+    if (m_sinks.measure)
+        m_sinks.measure(measurement);
 }
 
 const JobQueue& Coordinator::queueOf(const JobSpec& spec) const
@@ -169,6 +176,7 @@
     }
     if (m_jobs.cancel(id, now)) {
         log("job", id.value(), "cancelled");
+        measure(JobEnded { job->spec.team, job->queue.priority, job->state, now - job->acceptedAt });
         stopRunsOf(*job, now);
         m_advice.forget(id);
         m_nextFlush = std::min(m_nextFlush, now + s_submissionDelay);
@@ -235,7 +243,7 @@
     m_nextFlush = now + s_progressDelay;
 }
 
-void Coordinator::sendJournal(TimePoint)
+void Coordinator::sendJournal(TimePoint now)
 {
     auto batch = m_journal.next();
     if (!batch)
@@ -248,11 +256,13 @@
         if (auto mark = m_waitingMarks.extract(key))
             m_batchMarks.insert_or_assign(key, mark.mapped());
     }
+    m_batchSentAt = now;
     m_orders.emplace_back(JournalOrder { std::move(*batch) });
 }
 
 void Coordinator::journalAnswered(JournalAnswer answer, Revision head, TimePoint now)
 {
+    measure(JournalWritten { answer, now - m_batchSentAt });
     const auto stored = m_journal.answered(answer, head);
     if (m_journal.needsHeadRead())
         m_orders.emplace_back(ReadHeadOrder {});
--- a/lib/Entry/CoordinatorPools.cpp
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -143,27 +143,31 @@
 void Coordinator::reportPools(
     const std::map<ServiceId, PoolDemand>& demands, const std::vector<SizedInstance>& instances) const
 {
+    const auto cores = [](std::int64_t milliCores) { return static_cast<double>(milliCores) / 1000; };
+    const auto rounded = [](double cores) { return std::to_string(std::lround(cores)); };
     std::string text;
     for (const auto& [id, demand] : demands) {
-        double capacity = 0;
-        double used = 0;
-        int count = 0;
+        PoolMeasured pool { id, 0, 0, 0, cores(demand.whole.need.milliCores) };
         for (const auto& row : instances) {
             if (row.pool != id)
                 continue;
-            ++count;
-            capacity += row.isUsable ? static_cast<double>(row.capacity.milliCores) : 0;
+            ++pool.instances;
+            pool.usableCores += row.isUsable ? cores(row.capacity.milliCores) : 0;
             const auto* worker = m_workers.find(m_instances.at(row.id).worker);
-            used += worker ? static_cast<double>(worker->used.milliCores) : 0;
+            pool.usedCores += worker ? cores(worker->used.milliCores) : 0;
         }
-        const auto cores = [](double milliCores) { return std::to_string(std::lround(milliCores / 1000)); };
-        text += (text.empty() ? "" : "; ") + id.value() + ' ' + std::to_string(count) + " instances, cores "
-            + cores(capacity) + " usable, " + cores(used) + " used, "
-            + cores(static_cast<double>(demand.whole.need.milliCores)) + " asked";
+        measure(pool);
+        text += (text.empty() ? "" : "; ") + id.value() + ' ' + std::to_string(pool.instances) + " instances, cores "
+            + rounded(pool.usableCores) + " usable, " + rounded(pool.usedCores) + " used, " + rounded(pool.askedCores)
+            + " asked";
         for (const auto& [label, part] : demand.byLabel)
-            text += ", " + cores(static_cast<double>(part.need.milliCores)) + " with " + label;
+            text += ", " + rounded(cores(part.need.milliCores)) + " with " + label;
     }
     log("coordinator", std::to_string(m_term.fence), text);
+    JobsMeasured jobs { m_jobs.activeJobs().size(), 0 };
+    for (const auto& id : m_jobs.activeJobs())
+        jobs.waiting += !m_jobs.find(id)->hasStarted;
+    measure(jobs);
 }
 
 void Coordinator::sizePools(TimePoint now)
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -124,6 +124,8 @@
     const auto& job = *m_jobs.find(start.task.job);
     const auto checkpoint = m_jobs.findTask(start.task)->checkpoint;
     const auto* ticket = m_advice.ticket(start.task.stepKey(), worker.entry.life, now);
+    if (!job.hasStarted)
+        measure(JobStarted { job.spec.team, job.queue.priority, now - job.acceptedAt });
     m_jobs.runOrdered(start.task, start.run, start.worker, now);
     occupy(start.worker, start.task, start.run);
     m_orders.emplace_back(StartOrder { worker.entry.life, worker.entry.endpoint, start.task, start.run,
@@ -133,6 +135,7 @@
 void Coordinator::startAnswered(
     const WorkerLife& life, const TaskKey& key, RunNumber run, StartAnswer answer, std::int64_t clockMs, TimePoint now)
 {
+    measure(StartAnswered { answer });
     auto* worker = m_workers.find(life.id);
     if (!worker || worker->entry.life.bornUnixMs != life.bornUnixMs)
         return;
@@ -167,8 +170,7 @@
     default:
         break;
     }
-    log("task", key.text(),
-        "start on " + life.id.value() + " refused, kind " + std::to_string(static_cast<int>(answer)));
+    log("task", key.text(), "start on " + life.id.value() + " refused: " + name(answer));
     if (answer == StartAnswer::OtherLife || answer == StartAnswer::NotSent) {
         worker->isAnswering = false;
         worker->nextLook = now;
@@ -261,6 +263,7 @@
             log("worker", id.value(), "left out for a while: its tasks fail");
         }
     }
+    measure(RunEnded { how });
     const bool wasActive = job && job->isActive();
     m_jobs.runEnded(key, run, how, checkpoint, now);
     // An earlier run that was given up had ended well after all; the later one is not needed.
@@ -272,6 +275,7 @@
         placeAgainAt(task->notBefore);
     if (wasActive && !job->isActive()) {
         log("job", key.job.value(), std::string("ended: ") + name(job->state));
+        measure(JobEnded { job->spec.team, job->queue.priority, job->state, now - job->acceptedAt });
         stopRunsOf(*job, now);
         m_advice.forget(key.job);
         m_nextFlush = std::min(m_nextFlush, now);
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -171,8 +171,7 @@
         m_nextFlush = std::min(m_nextFlush, now + s_recordDelay);
         return;
     }
-    log("instance", instance,
-        std::string(isMove ? "move" : "maintenance") + " not done, kind " + std::to_string(static_cast<int>(answer)));
+    log("instance", instance, std::string(isMove ? "move" : "maintenance") + " not done: " + name(answer));
     if (isMove) {
         moveRefused(instance, answer, now);
     } else if (answer == InstanceAnswer::Unknown) {
--- /dev/null
+++ b/lib/Entry/FleetMetrics.cpp
@@ -0,0 +1,165 @@
+// Metrics on prometheus-cpp, served by the process's own HTTP server.
+#include "marigoldlink/Entry/FleetMetrics.h"
+
+#include <map>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+#include <set>
+
+namespace marigoldlink {
+
+namespace {
+
+    // Teams beyond this number share the label "other", which bounds the memory and the size of a scrape.
+    constexpr std::size_t s_mostTeamLabels = 64;
+    const prometheus::Histogram::BucketBoundaries s_seconds { 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.4, 2.5, 5,
+        10, 30, 60 };
+    const prometheus::Histogram::BucketBoundaries s_storeSeconds { 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1,
+        2.5 };
+
+    double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+} // namespace
+
+struct FleetMetrics::Impl {
+    template <typename Metric> using Family = prometheus::Family<Metric>;
+
+    prometheus::Registry registry;
+    Family<prometheus::Histogram>& calls;
+    Family<prometheus::Counter>& outcomes;
+    Family<prometheus::Histogram>& waits;
+    Family<prometheus::Histogram>& jobTimes;
+    Family<prometheus::Counter>& jobs;
+    Family<prometheus::Counter>& runs;
+    Family<prometheus::Counter>& starts;
+    Family<prometheus::Histogram>& writes;
+    Family<prometheus::Gauge>& instances;
+    Family<prometheus::Gauge>& cores;
+    Family<prometheus::Gauge>& openJobs;
+    prometheus::Gauge& coordinator;
+    prometheus::Counter& unlogged;
+    std::set<TeamId> knownTeams;
+    std::set<ServiceId> knownPools;
+
+    template <typename Builder> auto& family(Builder builder, const char* name, const char* help)
+    {
+        return builder.Name(name).Help(help).Register(registry);
+    }
+
+    Impl()
+        : calls(family(
+            prometheus::BuildHistogram(), "marigold_call_seconds", "Time to the answer of a caller's call, by kind."))
+        , outcomes(family(prometheus::BuildCounter(), "marigold_calls_total", "Calls by kind, team and outcome."))
+        , waits(family(prometheus::BuildHistogram(), "marigold_job_wait_seconds",
+              "Time from the acceptance of a job to the order of its first task."))
+        , jobTimes(family(
+              prometheus::BuildHistogram(), "marigold_job_seconds", "Time from the acceptance of a job to its end."))
+        , jobs(family(prometheus::BuildCounter(), "marigold_jobs_ended_total", "Jobs that ended, by state."))
+        , runs(family(prometheus::BuildCounter(), "marigold_runs_ended_total", "Runs of tasks that ended, by how."))
+        , starts(family(prometheus::BuildCounter(), "marigold_starts_total", "Orders to start a task, by answer."))
+        , writes(family(prometheus::BuildHistogram(), "marigold_journal_write_seconds",
+              "Time of a write of the journal, by answer."))
+        , instances(family(prometheus::BuildGauge(), "marigold_pool_instances", "Instances in a pool."))
+        , cores(family(prometheus::BuildGauge(), "marigold_pool_cores", "Cores of a pool: usable, used, asked for."))
+        , openJobs(family(prometheus::BuildGauge(), "marigold_jobs", "Jobs that are active, and that wait."))
+        , coordinator(
+              family(prometheus::BuildGauge(), "marigold_is_coordinator", "1 while this instance is the coordinator.")
+                  .Add({}))
+        , unlogged(family(prometheus::BuildCounter(), "marigold_unlogged_decisions_total",
+              "Decisions that the bound of the log left out.")
+                       .Add({}))
+    {
+    }
+
+    std::string teamLabel(const TeamId& team)
+    {
+        if (team.empty())
+            return "none";
+        if (!knownTeams.contains(team) && knownTeams.size() >= s_mostTeamLabels)
+            return "other";
+        knownTeams.insert(team);
+        return team.value();
+    }
+
+    void take(const JobStarted& job)
+    {
+        waits.Add({ { "team", teamLabel(job.team) }, { "priority", std::to_string(job.priority) } }, s_seconds)
+            .Observe(seconds(job.wait));
+    }
+
+    void take(const JobEnded& job)
+    {
+        const auto team = teamLabel(job.team);
+        jobs.Add({ { "team", team }, { "state", marigoldlink::name(job.state) } }).Increment();
+        jobTimes.Add({ { "team", team }, { "priority", std::to_string(job.priority) } }, s_seconds)
+            .Observe(seconds(job.time));
+    }
+
+    void take(const RunEnded& run) { runs.Add({ { "how", marigoldlink::name(run.how) } }).Increment(); }
+
+    void take(const StartAnswered& start)
+    {
+        starts.Add({ { "answer", marigoldlink::name(start.answer) } }).Increment();
+    }
+
+    void take(const JournalWritten& write)
+    {
+        writes.Add({ { "answer", marigoldlink::name(write.answer) } }, s_storeSeconds).Observe(seconds(write.time));
+    }
+
+    void take(const PoolMeasured& pool)
+    {
+        const auto& id = pool.pool.value();
+        instances.Add({ { "pool", id } }).Set(pool.instances);
+        cores.Add({ { "pool", id }, { "of", "usable" } }).Set(pool.usableCores);
+        cores.Add({ { "pool", id }, { "of", "used" } }).Set(pool.usedCores);
+        cores.Add({ { "pool", id }, { "of", "asked" } }).Set(pool.askedCores);
+        knownPools.insert(pool.pool);
+    }
+
+    void take(const JobsMeasured& count)
+    {
+        openJobs.Add({ { "of", "active" } }).Set(static_cast<double>(count.active));
+        openJobs.Add({ { "of", "waiting" } }).Set(static_cast<double>(count.waiting));
+    }
+};
+
+FleetMetrics::FleetMetrics()
+    : m_impl(std::make_unique<Impl>())
+{
+}
+
+FleetMetrics::~FleetMetrics() = default;
+
+void FleetMetrics::take(const CallReport& call)
+{
+    m_impl->outcomes
+        .Add({ { "kind", call.kind }, { "team", m_impl->teamLabel(call.team) },
+            { "outcome", marigoldlink::name(call.outcome) } })
+        .Increment();
+    m_impl->calls.Add({ { "kind", call.kind } }, s_seconds).Observe(seconds(call.time));
+}
+
+void FleetMetrics::take(const Measurement& measurement)
+{
+    std::visit([this](const auto& typed) { m_impl->take(typed); }, measurement);
+}
+
+void FleetMetrics::setCoordinator(bool isCoordinator)
+{
+    m_impl->coordinator.Set(isCoordinator ? 1 : 0);
+    if (isCoordinator)
+        return;
+    for (const auto& pool : m_impl->knownPools)
+        m_impl->take(PoolMeasured { pool, 0, 0, 0, 0 });
+    m_impl->take(JobsMeasured {});
+}
+
+void FleetMetrics::countUnloggedDecisions(int count) { m_impl->unlogged.Increment(count); }
+
+std::string FleetMetrics::text() const { return prometheus::TextSerializer().Serialize(m_impl->registry.Collect()); }
+
+} // namespace marigoldlink
--- a/unittests/Entry/FleetModel.h
+++ b/unittests/Entry/FleetModel.h
@@ -251,10 +251,11 @@
         m_ownerRevision = node->ownerRevision;
         m_ownerUntil = m_now + ownerTtl;
         node->coordinator = std::make_unique<Coordinator>(CoordinatorSettings {}, node->term, Journal(m_head), m_now,
-            [this, term = m_term](const Decision& decision) {
-                note(
-                    "term " + std::to_string(term) + ' ' + decision.subject + ' ' + decision.id + ": " + decision.text);
-            });
+            CoordinatorSinks { [this, term = m_term](const Decision& decision) {
+                                  note("term " + std::to_string(term) + ' ' + decision.subject + ' ' + decision.id
+                                      + ": " + decision.text);
+                              },
+                {} });
         note("term " + std::to_string(m_term) + " elected");
         node->coordinator->setSureUntil(m_now + ownerTtl);
         node->coordinator->setOperators(m_operators, m_now);
--- /dev/null
+++ b/unittests/Entry/MetricsTest.cpp
@@ -0,0 +1,75 @@
+// Metrics of an entry instance: series, their bound, and what a coordinator tells of.
+#include "CoordinatorHarness.h"
+#include "marigoldlink/Entry/FleetMetrics.h"
+
+#include <gmock/gmock.h>
+
+namespace marigoldlink {
+namespace {
+
+    using testing::HasSubstr;
+    using testing::Not;
+
+    TEST(Metrics, CountsCallsByKindTeamAndOutcome)
+    {
+        FleetMetrics metrics;
+        CallReport call;
+        call.kind = "submit";
+        call.team = TeamId("inspectors");
+        call.time = Duration(20);
+        metrics.take(call);
+        call.outcome = CallOutcome::NotReached;
+        metrics.take(call);
+        const auto text = metrics.text();
+        EXPECT_THAT(text, HasSubstr(R"(marigold_calls_total{kind="submit",outcome="done",team="inspectors"} 1)"));
+        EXPECT_THAT(
+            text, HasSubstr(R"(marigold_calls_total{kind="submit",outcome="not_reached",team="inspectors"} 1)"));
+        EXPECT_THAT(text, HasSubstr(R"(marigold_call_seconds_count{kind="submit"} 2)"));
+    }
+
+    TEST(Metrics, TeamsBeyondTheBoundShareOneLabel)
+    {
+        FleetMetrics metrics;
+        for (int i = 0; i < 200; ++i)
+            metrics.take(JobStarted { TeamId("team" + std::to_string(i)), 0, Duration(5) });
+        const auto text = metrics.text();
+        EXPECT_THAT(text, HasSubstr(R"(marigold_job_wait_seconds_count{priority="0",team="team63"} 1)"));
+        EXPECT_THAT(text, Not(HasSubstr(R"(team="team64")")));
+        EXPECT_THAT(text, HasSubstr(R"(marigold_job_wait_seconds_count{priority="0",team="other"} 136)"));
+    }
+
+    TEST(Metrics, GaugesOfPoolsEndWithTheCoordinatorsPart)
+    {
+        FleetMetrics metrics;
+        metrics.setCoordinator(true);
+        metrics.take(PoolMeasured { ServiceId("gates"), 3, 192, 50, 70 });
+        EXPECT_THAT(metrics.text(), HasSubstr(R"(marigold_pool_cores{of="asked",pool="gates"} 70)"));
+        metrics.setCoordinator(false);
+        EXPECT_THAT(metrics.text(), HasSubstr(R"(marigold_pool_cores{of="asked",pool="gates"} 0)"));
+        EXPECT_THAT(metrics.text(), HasSubstr("marigold_is_coordinator 0"));
+    }
+
+    TEST(Metrics, ACoordinatorTellsOfStartsEndsAndWrites)
+    {
+        FleetMetrics metrics;
+        CoordinatorHarness fleet({ 10, 1 }, { {}, [&](const Measurement& measurement) { metrics.take(measurement); } });
+        fleet.addWorker("w1");
+        fleet.run(Duration(5));
+        fleet.answerLooks();
+        fleet.coordinator.restored(fleet.now);
+        fleet.settle();
+        fleet.accept(CoordinatorHarness::job("a"));
+        fleet.run(Duration(5));
+        ASSERT_EQ(fleet.starts.size(), 1u);
+        fleet.answerStarts();
+        fleet.answerLooks({}, { { 1, CoordinatorHarness::task("a"), RunNumber(1), RunEnd::Done, "" } });
+        const auto text = metrics.text();
+        EXPECT_THAT(text, HasSubstr(R"(marigold_job_wait_seconds_count{priority="0",team="none"} 1)"));
+        EXPECT_THAT(text, HasSubstr(R"(marigold_starts_total{answer="started"} 1)"));
+        EXPECT_THAT(text, HasSubstr(R"(marigold_runs_ended_total{how="done"} 1)"));
+        EXPECT_THAT(text, HasSubstr(R"(marigold_jobs_ended_total{state="complete",team="none"} 1)"));
+        EXPECT_THAT(text, HasSubstr(R"(marigold_journal_write_seconds_count{answer="stored"} 2)"));
+    }
+
+} // namespace
+} // namespace marigoldlink
