Successors wait only for workers on which something may run, and services count as at work only by a fresh look

Workers of instances that had moved or begun maintenance stay in the registry for up to three heartbeats and do not answer; each successor took them for workers that may hold runs, and kept all jobs of their service back until their leases had lapsed, and its own start until its first look at them had failed. Ruled out: leases of live workers (all answered within 0.1 s of the election), team limits, the store (writes in 4 ms). Only recorded workers that have not answered and were not recorded as lapsed are waited for. Change: a service's task is at work only if its worker answers and said so in the last 1.5 s.

--- a/include/marigoldlink/Coordination/WorkerBook.h
+++ b/include/marigoldlink/Coordination/WorkerBook.h
@@ -62,6 +62,9 @@
     bool isRecorded { false };
     // Its lease has lapsed and it got no order since, also as an earlier coordinator recorded it: nothing runs there.
     bool hasLapsed { false };
+    // An earlier coordinator had recorded it and may have started something there that is not known here, until it has
+    // answered. On a worker without a record nothing was ever started.
+    bool mayHoldEarlierRuns { false };
     bool isDueForMaintenance { false }; // in a wave that has not come to it
     bool isReserved { false }; // kept free for maintenance or a move: nothing is started here
     std::map<std::tuple<JobId, int, int>, int> tasksByStep; // of job, occurrence and step
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -169,9 +169,11 @@
     void moveRefused(const std::string& instance, InstanceAnswer, TimePoint now);
     void moved(FleetInstance&, const ServiceId& pool, TimePoint now);
     void workerEnded(const FleetInstance&, TimePoint now);
-    WaveLoad waveLoad(const std::string& instance) const;
+    WaveLoad waveLoad(const std::string& instance, TimePoint now) const;
+    // A service's task that its worker has reported at full work a moment ago.
+    bool isAtWork(const Task&, TimePoint now) const;
     // Tasks of a step that are not at work.
-    int awayTasks(const Occurrence&, int step) const;
+    int awayTasks(const Occurrence&, int step, TimePoint now) const;
 
     CoordinatorSettings m_settings;
     Term m_term;
--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -135,7 +135,7 @@
         }
     }
 
-    // The first look at each worker has to be answered, or to fail, before anything is started.
+    // The first look at each worker that may hold runs has to be answered, or to fail, before anything is started.
     void awaitWorkers()
     {
         if (m_isStopped)
@@ -144,7 +144,7 @@
         const auto& workers = m_coordinator.workers().workers();
         const bool isSettled
             = m_workers->isLoaded() && std::all_of(workers.begin(), workers.end(), [](const auto& entry) {
-                  return entry.second.isFenced
+                  return entry.second.isFenced || !entry.second.mayHoldEarlierRuns
                       || (!entry.second.isLookUnderWay && entry.second.lookSentAt != TimePoint());
               });
         if (!isSettled) {
--- a/lib/Coordination/WorkerBook.cpp
+++ b/lib/Coordination/WorkerBook.cpp
@@ -58,6 +58,7 @@
     auto& worker = m_workers[entry.life.id];
     worker.isRecorded = true;
     worker.hasLapsed = hasLapsed;
+    worker.mayHoldEarlierRuns = !hasLapsed && !worker.isFenced;
     if (worker.isRegistered)
         return;
     worker.entry = entry;
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -46,7 +46,7 @@
     if (now >= allLapsedBy)
         return true;
     return std::none_of(m_workers.workers().begin(), m_workers.workers().end(), [&](const auto& entry) {
-        return !entry.second.isFenced && !entry.second.hasLapsed && entry.second.entry.service == job.queue.service;
+        return entry.second.mayHoldEarlierRuns && entry.second.entry.service == job.queue.service;
     });
 }
 
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -10,6 +10,8 @@
     constexpr Duration s_waveStep { 100 };
     // A service's task that reports less, in percent, is starting or paced down.
     constexpr int s_atWork = 100;
+    // A busy worker answers a look after a second at the latest; an older answer is not counted on.
+    constexpr Duration s_freshLook { 1500 };
     // A call of an earlier coordinator may still be on its way for this long.
     constexpr Duration s_settleSlack { 500 };
     constexpr Duration s_listPeriod { 500 };
@@ -32,15 +34,23 @@
     m_nextTick = now;
 }
 
-int Coordinator::awayTasks(const Occurrence& occurrence, int step) const
+bool Coordinator::isAtWork(const Task& task, TimePoint now) const
+{
+    if (!task.run || task.run->phase != ActiveRun::Phase::Running || task.run->percent < s_atWork)
+        return false;
+    // What a worker said long ago, or before it was cut off, says nothing of now.
+    const auto* worker = m_workers.find(task.run->worker);
+    return worker && worker->isAnswering && now - worker->lastAnswer <= s_freshLook;
+}
+
+int Coordinator::awayTasks(const Occurrence& occurrence, int step, TimePoint now) const
 {
     const auto& tasks = occurrence.steps[static_cast<std::size_t>(step)].tasks;
-    return static_cast<int>(std::count_if(tasks.begin(), tasks.end(), [](const Task& task) {
-        return !task.run || task.run->phase != ActiveRun::Phase::Running || task.run->percent < s_atWork;
-    }));
+    return static_cast<int>(
+        std::count_if(tasks.begin(), tasks.end(), [&](const Task& task) { return !isAtWork(task, now); }));
 }
 
-WaveLoad Coordinator::waveLoad(const std::string& instance) const
+WaveLoad Coordinator::waveLoad(const std::string& instance, TimePoint now) const
 {
     WaveLoad load;
     const auto found = m_instances.find(instance);
@@ -62,8 +72,8 @@
         const auto& occurrence = job->occurrences.at(key.occurrence);
         const auto* task
             = &occurrence.steps[static_cast<std::size_t>(key.step)].tasks[static_cast<std::size_t>(key.index)];
-        const bool isAtWork = task->run && task->run->number == run.number && task->run->percent >= s_atWork;
-        const int others = awayTasks(occurrence, key.step) - (isAtWork ? 0 : 1);
+        const bool isThisAtWork = isAtWork(*task, now) && task->run->number == run.number;
+        const int others = awayTasks(occurrence, key.step, now) - (isThisAtWork ? 0 : 1);
         const int here = worker->tasksByStep.at({ key.job, key.occurrence, key.step });
         if (spec.mayMiss > 0 && others + here > spec.mayMiss)
             load.mayEndServices = false;
@@ -97,11 +107,11 @@
         return;
     // One instance at a time, as each changes what the services can spare.
     const auto steps = m_waves.plan(
-        m_instances, [this](const std::string& instance) { return waveLoad(instance); }, now);
+        m_instances, [this, now](const std::string& instance) { return waveLoad(instance, now); }, now);
     for (const auto& step : steps) {
         const bool isRepeated = m_waves.isAway(step.instance);
         if (m_maintenanceUnderWay.contains(step.instance) || m_moves.contains(step.instance)
-            || (!isRepeated && !waveLoad(step.instance).mayEndServices))
+            || (!isRepeated && !waveLoad(step.instance, now).mayEndServices))
             continue;
         m_waves.begun(step.wave, step.instance, now);
         m_maintenanceUnderWay.insert(step.instance);
@@ -142,8 +152,8 @@
             || task->run->phase != ActiveRun::Phase::Running)
             continue;
         const auto& spec = job->stepSpec(key);
-        const int away = awayTasks(job->occurrences.at(key.occurrence), key.step);
-        if (spec.mayMiss > 0 && (away >= spec.mayMiss || task->run->percent < s_atWork))
+        const int away = awayTasks(job->occurrences.at(key.occurrence), key.step, now);
+        if (spec.mayMiss > 0 && (away >= spec.mayMiss || !isAtWork(*task, now)))
             continue;
         log("task", key.text(), "leaves " + worker.entry.life.id.value() + " for maintenance");
         orderStop(worker.entry.life.id, key, run.number, now);
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -174,6 +174,7 @@
     if (!worker->isFenced)
         worker->fencedAt = now;
     worker->isFenced = true;
+    worker->mayHoldEarlierRuns = false;
     worker->lastAnswer = now;
     worker->lease.reading(now, answer.clockMs);
     const auto endsBefore = worker->lastEndSeen;
--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -81,7 +81,7 @@
     {
         CoordinatorHarness fleet({ 20, 2 });
         fleet.addWorker("w1");
-        fleet.addWorker("w2");
+        fleet.coordinator.restoreWorker(fleet.addWorker("w2"), false, fleet.now);
         fleet.coordinator.restoreJob(CoordinatorHarness::job("a"), {}, fleet.now);
         fleet.run(Duration(5));
         fleet.answerLooks({}, {}, "w1");
@@ -149,7 +149,7 @@
     {
         CoordinatorHarness fleet({ 20, 2, true });
         fleet.addWorker("w1");
-        fleet.addWorker("w2");
+        fleet.coordinator.restoreWorker(fleet.addWorker("w2"), false, fleet.now);
         fleet.coordinator.restoreJob(CoordinatorHarness::job("a"), {}, fleet.now);
         const auto begin = fleet.now;
         fleet.run(Duration(5));
@@ -166,6 +166,22 @@
         EXPECT_LE(fleet.now - begin, Duration(3400));
     }
 
+    // Seen in an incident on celazime-prod: a worker that is gone with its instance stays in the registry for some
+    // seconds, and each takeover in a series of stops waited for its lease.
+    TEST(Takeover, DoesNotWaitForAWorkerOnWhichNothingWasStarted)
+    {
+        CoordinatorHarness fleet({ 20, 2, true });
+        fleet.addWorker("w1");
+        fleet.addWorker("w2"); // in the registry, and without a record
+        fleet.coordinator.restoreJob(CoordinatorHarness::job("a"), {}, fleet.now);
+        fleet.run(Duration(5));
+        fleet.answerLooks({}, {}, "w1");
+        fleet.failLooks("w2");
+        fleet.coordinator.restored(fleet.now);
+        fleet.settle();
+        EXPECT_THAT(fleet.starts, SizeIs(1));
+    }
+
     // Entries lapse while the store is away; in the bench a successor did not know of a worker that still ran a task.
     TEST(Takeover, AWorkerThatLeftTheRegistryIsStillCountedWith)
     {
