Records of silent workers name their runs; an accepted call for an instance ends its worker only when the list shows it

Cause of the first: a successor that does not reach a worker kept back all jobs of its service until every lease had lapsed, up to 7 s, although the coordinator before knew what ran there. Change: when a worker stops answering, its record is closed: it names the runs that may be there and says that no start follows; the record is opened again, and stored, before the worker is used again. A successor keeps back only the tasks named. Workers are recorded once they have answered, so that a dead entry of the registry is not recorded by a successor.

--- a/include/marigoldlink/Coordination/Placement.h
+++ b/include/marigoldlink/Coordination/Placement.h
@@ -75,6 +75,9 @@
     // While another coordinator may exist, a task that has run before is not started: its end may be known only there.
     void setFirstRunsOnly(bool isFirstRunsOnly) { m_isFirstRunsOnly = isFirstRunsOnly; }
 
+    // Tasks that are not started: a run of them that is not known here may be active.
+    void setTasksOutOfReach(std::set<TaskKey> tasks) { m_outOfReach = std::move(tasks); }
+
     struct Result {
         std::vector<PlannedStart> starts; // most urgent first
         std::vector<AdviceNeed> adviceNeeds; // of steps that wait for it, most urgent first
@@ -87,7 +90,7 @@
 
 private:
     struct Candidates;
-    bool mayStart(const Task&, TimePoint now) const;
+    bool mayStart(const TaskKey&, const Task&, TimePoint now) const;
     // Both return how many tasks of the step are left without a worker.
     std::size_t planStep(
         const ReadyStep&, TimePoint now, Candidates&, std::size_t most, std::vector<PlannedStart>&) const;
@@ -102,6 +105,7 @@
     IsUsable m_isUsable;
     IsAccountedFor m_isAccountedFor;
     bool m_isFirstRunsOnly { false };
+    std::set<TaskKey> m_outOfReach;
 };
 
 } // namespace marigoldlink
--- a/include/marigoldlink/Coordination/WorkerBook.h
+++ b/include/marigoldlink/Coordination/WorkerBook.h
@@ -60,11 +60,13 @@
     // True once the store holds the worker's record, by which a successor finds it even if it leaves the registry.
     // Nothing is started on it before.
     bool isRecorded { false };
-    // Its lease has lapsed and it got no order since, also as an earlier coordinator recorded it: nothing runs there.
-    bool hasLapsed { false };
-    // An earlier coordinator had recorded it and may have started something there that is not known here, until it has
-    // answered. On a worker without a record nothing was ever started.
+    // Its record says that no start follows and names the runs that may be there, so that a successor that does not
+    // reach it keeps back only these. Set while it does not answer; cleared, and stored, before it is used again.
+    bool isClosed { false };
+    // An earlier coordinator may have started something here that is not known to this one, until it has answered. On a
+    // worker without a record nothing was ever started.
     bool mayHoldEarlierRuns { false };
+    std::optional<std::set<TaskKey>> earlierRuns; // if the earlier coordinator's record names them
     bool isDueForMaintenance { false }; // in a wave that has not come to it
     bool isReserved { false }; // kept free for maintenance or a move: nothing is started here
     std::map<std::tuple<JobId, int, int>, int> tasksByStep; // of job, occurrence and step
@@ -90,7 +92,7 @@
     void occupy(const WorkerId&, const TaskKey&, const HeldRun&);
     void release(const WorkerId&, const TaskKey&, RunNumber);
     // Adds a worker that an earlier coordinator had recorded. The registry may know more of it, or nothing.
-    void restore(const WorkerEntry&, bool hasLapsed, TimePoint now);
+    void restore(const WorkerEntry&, std::optional<std::set<TaskKey>> onlyRuns, TimePoint now);
 
     // Starts another life of a worker under its id. The runs of the life before have to be released already.
     void reborn(Worker&, std::int64_t bornUnixMs);
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -50,7 +50,8 @@
     // The state of the store, to be told before the first tick.
     void restoreJob(JobSpec, const JobProgress&, TimePoint now);
     void restoreWave(const WaveId&, std::set<std::string> finished);
-    void restoreWorker(const WorkerEntry&, bool hasLapsed, TimePoint now);
+    // See WorkerRecord for the runs.
+    void restoreWorker(const WorkerEntry&, std::optional<std::set<TaskKey>> onlyRuns, TimePoint now);
     // From here on it decides. Before, it only follows the workers.
     void restored(TimePoint now);
 
@@ -117,7 +118,9 @@
 
     // Runs.
     bool isUsable(const Worker&, TimePoint now) const;
-    bool isAccountedFor(const Job&, TimePoint now) const;
+    bool isAccountedFor(const Job&) const;
+    // Tasks that may run on workers which have not answered yet.
+    std::set<TaskKey> tasksOutOfReach() const;
     void placeTasks(TimePoint now);
     // Places again at that time: a task or a worker that is left out for a while may be used again.
     void placeAgainAt(TimePoint time) { m_nextPlacement = std::min(m_nextPlacement, time); }
@@ -147,6 +150,10 @@
     void lookAtWorkers(TimePoint now);
     void forgetWorker(const WorkerId&);
     void dropLapsed(TimePoint now);
+    // The worker does not answer: its record will say what may run there.
+    void stoppedAnswering(Worker&);
+    // No lease that an earlier coordinator gave holds from then on.
+    TimePoint earlierLeasesLapsedBy() const;
     void paceFillers(Worker&, TimePoint now);
 
     // Instances.
@@ -168,7 +175,11 @@
     void maintained(FleetInstance&, TimePoint now);
     void moveRefused(const std::string& instance, InstanceAnswer, TimePoint now);
     void moved(FleetInstance&, const ServiceId& pool, TimePoint now);
-    void workerEnded(const FleetInstance&, TimePoint now);
+    // A call for its instance was accepted. It may have been carried out before, for an earlier coordinator or after a
+    // lost answer, and then the worker of now goes on: the next list tells.
+    void workerMayHaveEnded(const FleetInstance&, TimePoint now);
+    void settleEndingWorkers(TimePoint now);
+    void workerEnded(const WorkerId&, TimePoint now);
     WaveLoad waveLoad(const std::string& instance, TimePoint now) const;
     // A service's task that its worker has reported at full work a moment ago.
     bool isAtWork(const Task&, TimePoint now) const;
@@ -206,7 +217,13 @@
     std::map<std::string, FleetInstance> m_instances;
     WavePlan m_waves;
     TimePoint m_nextList;
+    TimePoint m_listAskedAt;
     bool m_isListing { false };
+    struct EndingWorker {
+        std::string instance;
+        TimePoint since;
+    };
+    std::map<WorkerId, EndingWorker> m_endingWorkers;
     std::set<std::string> m_maintenanceUnderWay; // calls without an answer yet
     PoolSizer m_sizer { {} };
     std::map<ServiceId, ArrivalForecast> m_arrivals;
--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -117,8 +117,8 @@
         for (const auto& value : workers) {
             const WorkerId id(value.key.substr(records::workerPrefix.size()));
             decode(value, [&] {
-                const auto record = decodeWorker(id, value.value);
-                m_coordinator.restoreWorker(record.entry, record.hasLapsed, now);
+                auto record = decodeWorker(id, value.value);
+                m_coordinator.restoreWorker(record.entry, std::move(record.onlyRuns), now);
             });
         }
         m_isLoaded = true;
--- a/include/marigoldlink/Protocol/JobCodec.h
+++ b/include/marigoldlink/Protocol/JobCodec.h
@@ -4,6 +4,7 @@
 #include "marigoldlink/Coordination/JobBook.h"
 #include "marigoldlink/State/Jobs.h"
 
+#include <optional>
 #include <set>
 #include <string>
 
@@ -22,9 +23,10 @@
 // What a successor needs to reach a worker that left the registry.
 struct WorkerRecord {
     WorkerEntry entry;
-    bool hasLapsed { false }; // nothing runs there, and no order follows before the record changes
+    // If set, nothing else runs there, and no start follows before the record changes.
+    std::optional<std::set<TaskKey>> onlyRuns;
 };
-std::string encodeWorker(const WorkerEntry&, bool hasLapsed);
+std::string encodeWorker(const WorkerRecord&);
 WorkerRecord decodeWorker(const WorkerId&, const std::string& record);
 
 // The state of a wave as operators read it.
--- a/lib/Coordination/Placement.cpp
+++ b/lib/Coordination/Placement.cpp
@@ -255,9 +255,9 @@
     return need;
 }
 
-bool Placement::mayStart(const Task& task, TimePoint now) const
+bool Placement::mayStart(const TaskKey& key, const Task& task, TimePoint now) const
 {
-    if (task.isDone || task.run || task.strays || task.notBefore > now)
+    if (m_outOfReach.contains(key) || task.isDone || task.run || task.strays || task.notBefore > now)
         return false;
     return !m_isFirstRunsOnly || task.lastRun == RunNumber();
 }
@@ -273,8 +273,8 @@
     RackId rack;
     std::size_t left = 0;
     for (std::size_t i = 0; i < tasks.size() && starts.size() < most; ++i) {
-        const auto& task = tasks[i];
-        if (!mayStart(task, now))
+        const TaskKey key { job.spec.id, ready.occurrence, ready.step, static_cast<int>(i) };
+        if (!mayStart(key, tasks[i], now))
             continue;
         if (!candidates.use.allows(limits, job.spec.team, spec.need))
             return left;
@@ -289,7 +289,6 @@
         }
         if (spec.wantsOneRack)
             rack = row->worker->entry.rack;
-        const TaskKey key { job.spec.id, ready.occurrence, ready.step, static_cast<int>(i) };
         starts.push_back({ key, m_jobs.nextRun(job, key), row->worker->entry.life.id });
         row->room -= spec.reserved();
         ++row->planned[{ job.spec.id, ready.occurrence, ready.step }];
@@ -307,9 +306,12 @@
     const auto* limits = team == m_config.teams.end() ? nullptr : &team->second;
     const auto& step = job.occurrences.at(ready.occurrence).steps[index(ready.step)];
     // A gang starts anew only when nothing of its last run is left.
-    if (step.active || step.done
-        || std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) { return !mayStart(task, now); }))
+    if (step.active || step.done)
         return 0;
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        if (!mayStart({ job.spec.id, ready.occurrence, ready.step, static_cast<int>(i) }, step.tasks[i], now))
+            return 0;
+    }
     std::set<RackId> racks { {} };
     if (spec.wantsOneRack) {
         for (const auto& row : candidates.byService[job.queue.service])
--- a/lib/Coordination/WorkerBook.cpp
+++ b/lib/Coordination/WorkerBook.cpp
@@ -53,12 +53,13 @@
 
 void WorkerBook::remove(const WorkerId& id) { m_workers.erase(id); }
 
-void WorkerBook::restore(const WorkerEntry& entry, bool hasLapsed, TimePoint now)
+void WorkerBook::restore(const WorkerEntry& entry, std::optional<std::set<TaskKey>> onlyRuns, TimePoint now)
 {
     auto& worker = m_workers[entry.life.id];
     worker.isRecorded = true;
-    worker.hasLapsed = hasLapsed;
-    worker.mayHoldEarlierRuns = !hasLapsed && !worker.isFenced;
+    worker.isClosed = onlyRuns.has_value();
+    worker.mayHoldEarlierRuns = !worker.isFenced && (!onlyRuns || !onlyRuns->empty());
+    worker.earlierRuns = std::move(onlyRuns);
     if (worker.isRegistered)
         return;
     worker.entry = entry;
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -114,9 +114,9 @@
     m_waves.restore(id, std::move(finished));
 }
 
-void Coordinator::restoreWorker(const WorkerEntry& entry, bool hasLapsed, TimePoint now)
+void Coordinator::restoreWorker(const WorkerEntry& entry, std::optional<std::set<TaskKey>> onlyRuns, TimePoint now)
 {
-    m_workers.restore(entry, hasLapsed, now);
+    m_workers.restore(entry, std::move(onlyRuns), now);
     m_nextTick = now;
 }
 
@@ -230,9 +230,17 @@
     }
     for (const auto& id : std::exchange(m_unrecorded, {})) {
         const auto* worker = m_workers.find(id);
-        if (!worker)
+        // What may run on a worker that has not answered is known only from the record that there is, until every
+        // lease has lapsed.
+        if (!worker || (!worker->isFenced && (worker->mayHoldEarlierRuns || !worker->isClosed)))
             continue;
-        m_journal.put(records::worker(id), encodeWorker(worker->entry, worker->hasLapsed));
+        WorkerRecord record { worker->entry, std::nullopt };
+        if (worker->isClosed) {
+            record.onlyRuns.emplace();
+            for (const auto& [task, run] : worker->runs)
+                record.onlyRuns->insert(task);
+        }
+        m_journal.put(records::worker(id), encodeWorker(record));
     }
     for (const auto& change : m_waves.takeChanges()) {
         m_journal.put(records::wave(change.wave), encodeWave(change.finished));
@@ -292,7 +300,7 @@
     for (const auto& [key, value] : batch.puts) {
         if (key.starts_with(records::workerPrefix)) {
             const WorkerId id(key.substr(records::workerPrefix.size()));
-            if (auto* worker = m_workers.find(id); worker && !worker->hasLapsed && !m_unrecorded.contains(id))
+            if (auto* worker = m_workers.find(id); worker && !worker->isClosed && !m_unrecorded.contains(id))
                 worker->isRecorded = true;
         }
         const auto mark = marks.find(key);
--- a/lib/Entry/CoordinatorPools.cpp
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -224,7 +224,7 @@
 
 void Coordinator::moved(FleetInstance& instance, const ServiceId& pool, TimePoint now)
 {
-    workerEnded(instance, now);
+    workerMayHaveEnded(instance, now);
     instance.state = InstanceState::Moving;
     instance.pool = pool;
     m_moves[instance.id].since = now;
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -35,21 +35,32 @@
         && !m_operators.evacuated.contains(worker.entry.dataCenter);
 }
 
-bool Coordinator::isAccountedFor(const Job& job, TimePoint now) const
+TimePoint Coordinator::earlierLeasesLapsedBy() const
 {
-    if (job.isOwn)
-        return true;
     // Earlier coordinators gave leases of the same length as this one does.
     const auto lastOrder = m_startedAt + (m_term.hasPredecessorResigned ? Duration(0) : m_settings.earlierOrders);
-    const auto allLapsedBy = lastOrder
+    return lastOrder
         + Duration(static_cast<std::int64_t>(static_cast<double>(m_settings.lease.count()) / LeaseClock::slowestRate));
-    if (now >= allLapsedBy)
-        return true;
-    return std::none_of(m_workers.workers().begin(), m_workers.workers().end(), [&](const auto& entry) {
-        return entry.second.mayHoldEarlierRuns && entry.second.entry.service == job.queue.service;
+}
+
+bool Coordinator::isAccountedFor(const Job& job) const
+{
+    return job.isOwn || std::none_of(m_workers.workers().begin(), m_workers.workers().end(), [&](const auto& entry) {
+        const auto& worker = entry.second;
+        return worker.mayHoldEarlierRuns && !worker.earlierRuns && worker.entry.service == job.queue.service;
     });
 }
 
+std::set<TaskKey> Coordinator::tasksOutOfReach() const
+{
+    std::set<TaskKey> tasks;
+    for (const auto& [id, worker] : m_workers.workers()) {
+        if (worker.mayHoldEarlierRuns && worker.earlierRuns)
+            tasks.insert(worker.earlierRuns->begin(), worker.earlierRuns->end());
+    }
+    return tasks;
+}
+
 void Coordinator::placeTasks(TimePoint now)
 {
     if (m_nextPlacement <= now) {
@@ -63,7 +74,8 @@
     Placement placement(
         m_jobs, m_workers, m_operators.config, m_use, m_advice,
         [this, now](const Worker& worker) { return isUsable(worker, now); },
-        [this, now](const Job& job) { return isAccountedFor(job, now); });
+        [this](const Job& job) { return isAccountedFor(job); });
+    placement.setTasksOutOfReach(tasksOutOfReach());
     placement.setFirstRunsOnly(!isSure(now));
     const auto [starts, adviceNeeds] = placement.plan(now, s_startsPerTick);
     for (const auto& start : starts)
@@ -161,7 +173,7 @@
         return;
     case StartAnswer::Unknown:
         m_doubtfulStarts[life.id][key] = { run, now };
-        worker->isAnswering = false;
+        stoppedAnswering(*worker);
         worker->recentFailures += 1;
         worker->nextLook = now;
         m_nextTick = now;
@@ -172,7 +184,7 @@
     }
     log("task", key.text(), "start on " + life.id.value() + " refused: " + name(answer));
     if (answer == StartAnswer::OtherLife || answer == StartAnswer::NotSent) {
-        worker->isAnswering = false;
+        stoppedAnswering(*worker);
         worker->nextLook = now;
     }
     if (answer == StartAnswer::Unhealthy || answer == StartAnswer::NotSent)
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -24,6 +24,7 @@
 {
     m_isListing = false;
     m_nextList = now + s_listPeriod;
+    m_nextTick = now;
     if (instances.empty())
         return;
     m_instances.clear();
@@ -31,7 +32,7 @@
         const auto id = instance.id;
         m_instances.emplace(id, std::move(instance));
     }
-    m_nextTick = now;
+    settleEndingWorkers(now);
 }
 
 bool Coordinator::isAtWork(const Task& task, TimePoint now) const
@@ -86,6 +87,7 @@
     if (m_isListing || m_nextList > now)
         return;
     m_isListing = true;
+    m_listAskedAt = now;
     m_orders.emplace_back(ListInstancesOrder {});
 }
 
@@ -194,17 +196,43 @@
 void Coordinator::maintained(FleetInstance& instance, TimePoint now)
 {
     instance.state = InstanceState::Upkeep;
-    workerEnded(instance, now);
+    workerMayHaveEnded(instance, now);
+}
+
+void Coordinator::workerMayHaveEnded(const FleetInstance& instance, TimePoint now)
+{
+    if (!m_workers.find(instance.worker))
+        return;
+    m_endingWorkers[instance.worker] = { instance.id, now };
+    m_nextList = now;
+}
+
+void Coordinator::settleEndingWorkers(TimePoint now)
+{
+    for (const auto& [id, ending] : std::map(m_endingWorkers)) {
+        if (m_listAskedAt <= ending.since) {
+            m_nextList = now;
+            continue;
+        }
+        m_endingWorkers.erase(id);
+        const auto found = m_instances.find(ending.instance);
+        const bool goesOn
+            = found != m_instances.end() && found->second.state == InstanceState::Up && found->second.worker == id;
+        if (goesOn)
+            log("instance", ending.instance, "had been changed before; worker " + id.value() + " goes on");
+        else
+            workerEnded(id, now);
+    }
 }
 
-void Coordinator::workerEnded(const FleetInstance& instance, TimePoint now)
+void Coordinator::workerEnded(const WorkerId& id, TimePoint now)
 {
-    auto* worker = m_workers.find(instance.worker);
+    auto* worker = m_workers.find(id);
     if (!worker)
         return;
     for (const auto& [key, run] : std::map(worker->runs))
-        runOver(instance.worker, key, run.number, RunEnd::Lost, {}, now);
-    forgetWorker(instance.worker); // another worker comes with the instance
+        runOver(id, key, run.number, RunEnd::Lost, {}, now);
+    forgetWorker(id); // another worker comes with the instance
 }
 
 } // namespace marigoldlink
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -148,7 +148,7 @@
             log("worker", life.id.value(),
                 answer.status == LookAnswer::Status::OtherLife ? "another worker is at its address"
                                                                : "does not answer");
-        worker->isAnswering = false;
+        stoppedAnswering(*worker);
         worker->nextLook = now + s_failedLookDelay;
         return;
     }
@@ -165,8 +165,9 @@
     }
     if (!worker->isAnswering)
         log("worker", life.id.value(), "answers");
-    if (worker->hasLapsed) {
-        worker->hasLapsed = false;
+    if (worker->isClosed || !worker->isFenced) {
+        // Its record is stored anew before anything is started on it.
+        worker->isClosed = false;
         worker->isRecorded = false;
         m_unrecorded.insert(life.id);
     }
@@ -271,27 +272,39 @@
     }
 }
 
+void Coordinator::stoppedAnswering(Worker& worker)
+{
+    worker.isAnswering = false;
+    if (!worker.isFenced || worker.isClosed)
+        return;
+    worker.isClosed = true;
+    worker.isRecorded = false;
+    m_unrecorded.insert(worker.entry.life.id);
+}
+
 void Coordinator::dropLapsed(TimePoint now)
 {
     if (!isSure(now))
         return;
     std::vector<WorkerId> lapsed;
-    for (const auto& [id, worker] : m_workers.workers()) {
-        if (worker.isAnswering || worker.hasLapsed || !worker.isFenced)
+    for (auto& [id, worker] : m_workers.workers()) {
+        const bool isWaitedFor = worker.mayHoldEarlierRuns || (worker.isFenced && !worker.runs.empty());
+        if (worker.isAnswering || !isWaitedFor)
             continue;
-        if (worker.lease.lapsesBy() <= now)
+        const auto lapsesBy = worker.isFenced ? worker.lease.lapsesBy() : earlierLeasesLapsedBy();
+        if (lapsesBy <= now)
             lapsed.push_back(id);
         else
-            m_nextTick = std::min(m_nextTick, worker.lease.lapsesBy());
+            m_nextTick = std::min(m_nextTick, lapsesBy);
     }
     for (const auto& id : lapsed) {
         auto& worker = *m_workers.find(id);
         log("worker", id.value(), "lease lapsed; " + std::to_string(worker.runs.size()) + " runs lost");
+        worker.mayHoldEarlierRuns = false;
+        worker.isClosed = true;
+        m_mustPlace = true;
         for (const auto& [key, run] : std::map(worker.runs))
             runOver(id, key, run.number, RunEnd::Lapsed, {}, now);
-        // A successor that does not reach it either need not wait for it.
-        worker.hasLapsed = true;
-        worker.isRecorded = false;
         m_unrecorded.insert(id);
     }
 }
--- a/lib/Protocol/JobCodec.cpp
+++ b/lib/Protocol/JobCodec.cpp
@@ -157,23 +157,35 @@
         record, "a wave record", [](const Json& json) { return json.at("finished").get<std::set<std::string>>(); });
 }
 
-std::string encodeWorker(const WorkerEntry& entry, bool hasLapsed)
+std::string encodeWorker(const WorkerRecord& record)
 {
-    return Json {
-        { "service", entry.service.value() }, { "address", entry.endpoint.text() },
-        { "data_center", entry.dataCenter.value() }, { "born_ms", entry.life.bornUnixMs }, { "lapsed", hasLapsed }
-    }.dump();
+    const auto& entry = record.entry;
+    Json json { { "service", entry.service.value() }, { "address", entry.endpoint.text() },
+        { "data_center", entry.dataCenter.value() }, { "born_ms", entry.life.bornUnixMs } };
+    if (record.onlyRuns) {
+        json["runs"] = Json::array();
+        for (const auto& task : *record.onlyRuns)
+            json["runs"].push_back({ task.job.value(), task.occurrence, task.step, task.index });
+    }
+    return json.dump();
 }
 
 WorkerRecord decodeWorker(const WorkerId& id, const std::string& record)
 {
     return decoded(record, "a worker record", [&id](const Json& json) {
-        WorkerEntry entry;
+        WorkerRecord worker;
+        auto& entry = worker.entry;
         entry.life = { id, json.value<std::int64_t>("born_ms", 0) };
         entry.service = ServiceId(json.at("service").get<std::string>());
         entry.endpoint = Endpoint::parse(json.at("address").get<std::string>());
         entry.dataCenter = DataCenterId(json.value("data_center", ""));
-        return WorkerRecord { entry, json.value("lapsed", false) };
+        if (const auto runs = json.find("runs"); runs != json.end()) {
+            worker.onlyRuns.emplace();
+            for (const auto& row : *runs)
+                worker.onlyRuns->insert({ JobId(row.at(0).get<std::string>()), row.at(1).get<int>(),
+                    row.at(2).get<int>(), row.at(3).get<int>() });
+        }
+        return worker;
     });
 }
 
--- a/unittests/Entry/CoordinatorHarness.h
+++ b/unittests/Entry/CoordinatorHarness.h
@@ -31,6 +31,7 @@
         entry.dataCenter = DataCenterId("riga-1");
         entry.capacity = { milliCores, 100000, 0 };
         entry.rack = RackId("r-" + id);
+        entry.endpoint = { "127.0.0.1", 1 };
         coordinator.workerEntry(entry, now);
         return entry;
     }
--- a/unittests/Entry/FleetModel.h
+++ b/unittests/Entry/FleetModel.h
@@ -285,7 +285,7 @@
                     progress == m_records.end() ? JobProgress {} : decodeProgress(id, progress->second), m_now);
             } else if (key.starts_with(records::workerPrefix)) {
                 const auto record = decodeWorker(WorkerId(key.substr(records::workerPrefix.size())), value);
-                node.coordinator->restoreWorker(record.entry, record.hasLapsed, m_now);
+                node.coordinator->restoreWorker(record.entry, record.onlyRuns, m_now);
             }
         }
     }
--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -1,5 +1,6 @@
 // A coordinator that takes over finds the runs of the one before, and starts nothing twice.
 #include "CoordinatorHarness.h"
+#include "marigoldlink/Protocol/JobCodec.h"
 
 #include <gmock/gmock.h>
 
@@ -81,7 +82,7 @@
     {
         CoordinatorHarness fleet({ 20, 2 });
         fleet.addWorker("w1");
-        fleet.coordinator.restoreWorker(fleet.addWorker("w2"), false, fleet.now);
+        fleet.coordinator.restoreWorker(fleet.addWorker("w2"), std::nullopt, fleet.now);
         fleet.coordinator.restoreJob(CoordinatorHarness::job("a"), {}, fleet.now);
         fleet.run(Duration(5));
         fleet.answerLooks({}, {}, "w1");
@@ -134,7 +135,7 @@
         WorkerEntry recorded;
         recorded.life = { WorkerId("w2"), 1 };
         recorded.service = ServiceId("gates");
-        fleet.coordinator.restoreWorker(recorded, true, fleet.now);
+        fleet.coordinator.restoreWorker(recorded, std::set<TaskKey> {}, fleet.now);
         fleet.coordinator.restoreJob(CoordinatorHarness::job("a"), {}, fleet.now);
         fleet.run(Duration(5));
         fleet.answerLooks({}, {}, "w1");
@@ -149,7 +150,7 @@
     {
         CoordinatorHarness fleet({ 20, 2, true });
         fleet.addWorker("w1");
-        fleet.coordinator.restoreWorker(fleet.addWorker("w2"), false, fleet.now);
+        fleet.coordinator.restoreWorker(fleet.addWorker("w2"), std::nullopt, fleet.now);
         fleet.coordinator.restoreJob(CoordinatorHarness::job("a"), {}, fleet.now);
         const auto begin = fleet.now;
         fleet.run(Duration(5));
@@ -182,6 +183,74 @@
         EXPECT_THAT(fleet.starts, SizeIs(1));
     }
 
+    // A rack is dark while the coordinator changes: only the tasks that were there wait, not all of their service.
+    TEST(Takeover, WaitsOnlyForTheTasksThatTheRecordOfASilentWorkerNames)
+    {
+        CoordinatorHarness fleet({ 20, 2 });
+        fleet.addWorker("w1");
+        fleet.coordinator.restoreWorker(
+            fleet.addWorker("w2"), std::set<TaskKey> { CoordinatorHarness::task("a", 0) }, fleet.now);
+        fleet.coordinator.restoreJob(CoordinatorHarness::job("a", 2), {}, fleet.now);
+        fleet.coordinator.restoreJob(CoordinatorHarness::job("b", 1), {}, fleet.now);
+        fleet.run(Duration(5));
+        fleet.answerLooks({}, {}, "w1");
+        fleet.failLooks("w2");
+        fleet.coordinator.restored(fleet.now);
+        fleet.settle();
+        ASSERT_THAT(fleet.starts, SizeIs(2));
+        for (const auto& start : fleet.starts)
+            EXPECT_NE(start.task, CoordinatorHarness::task("a", 0));
+        const auto begin = fleet.now;
+        while (fleet.starts.size() < 3 && fleet.now < begin + Duration(10000)) {
+            fleet.run(Duration(50));
+            fleet.answerLooks({}, {}, "w1");
+            fleet.failLooks("w2");
+        }
+        EXPECT_GE(fleet.now - begin, Duration(6900)) << "late orders of the predecessor and their leases";
+    }
+
+    TEST(Takeover, TheRecordOfAWorkerThatStopsAnsweringNamesWhatRunsThere)
+    {
+        CoordinatorHarness fleet;
+        fleet.addWorker("w1");
+        fleet.run(Duration(5));
+        fleet.answerLooks();
+        fleet.coordinator.restored(fleet.now);
+        fleet.settle();
+        fleet.accept(CoordinatorHarness::job("a"));
+        fleet.run(Duration(5));
+        ASSERT_THAT(fleet.starts, SizeIs(1));
+        const ListedRun running { fleet.starts[0].task, fleet.starts[0].run, "", 100, 0 };
+        fleet.answerStarts();
+        const auto recordOf = [&fleet] {
+            std::optional<WorkerRecord> record;
+            for (const auto& [key, value] : fleet.batch ? fleet.batch->puts : decltype(fleet.batch->puts) {}) {
+                if (key == records::worker(WorkerId("w1")))
+                    record = decodeWorker(WorkerId("w1"), value);
+            }
+            return record;
+        };
+        fleet.run(Duration(5));
+        fleet.answerLooks({ running });
+        fleet.run(Duration(5));
+        fleet.failLooks("w1");
+        fleet.run(Duration(60));
+        auto record = recordOf();
+        ASSERT_TRUE(record && record->onlyRuns);
+        EXPECT_EQ(*record->onlyRuns, std::set<TaskKey> { CoordinatorHarness::task("a") });
+        fleet.answerJournal();
+        // It answers again: nothing is started on it before its record is open again.
+        fleet.run(Duration(400));
+        fleet.answerLooks({ running });
+        fleet.run(Duration(60));
+        record = recordOf();
+        ASSERT_TRUE(record);
+        EXPECT_FALSE(record->onlyRuns);
+        EXPECT_FALSE(fleet.coordinator.workers().find(WorkerId("w1"))->isRecorded);
+        fleet.answerJournal();
+        EXPECT_TRUE(fleet.coordinator.workers().find(WorkerId("w1"))->isRecorded);
+    }
+
     // Entries lapse while the store is away; in the bench a successor did not know of a worker that still ran a task.
     TEST(Takeover, AWorkerThatLeftTheRegistryIsStillCountedWith)
     {
@@ -190,7 +259,7 @@
         WorkerEntry recorded;
         recorded.life = { WorkerId("w2"), 1 };
         recorded.service = ServiceId("gates");
-        fleet.coordinator.restoreWorker(recorded, false, fleet.now);
+        fleet.coordinator.restoreWorker(recorded, std::nullopt, fleet.now);
         fleet.coordinator.restoreJob(CoordinatorHarness::job("a"), {}, fleet.now);
         fleet.run(Duration(5));
         EXPECT_THAT(fleet.looks, SizeIs(2));
--- a/unittests/Entry/WavesTest.cpp
+++ b/unittests/Entry/WavesTest.cpp
@@ -96,5 +96,45 @@
         EXPECT_THAT(fleet.maintenance, IsEmpty());
     }
 
+    class AcceptedMaintenance : public Waves {
+    protected:
+        // The call for the first worker's instance is accepted.
+        AcceptedMaintenance()
+        {
+            beginWave();
+            pass(Duration(400), { "w1", "w2" });
+            fleet.addWorker("w3");
+            fleet.run(Duration(5));
+            fleet.answerLooks({}, {}, "w3");
+            fleet.settle(); // the wave's record
+            fleet.settle(); // the worker's
+            fleet.starts.clear();
+            fleet.coordinator.instanceAnswered("m-w1", InstanceAnswer::Done, fleet.now);
+            // A list that was asked for before the call was accepted says nothing of it.
+            fleet.coordinator.instancesListed(instances, fleet.now);
+            fleet.run(Duration(20));
+            EXPECT_THAT(fleet.starts, IsEmpty());
+        }
+    };
+
+    TEST_F(AcceptedMaintenance, EndsWhatRanThereOnceTheListShowsIt)
+    {
+        instances[0].state = InstanceState::Upkeep;
+        fleet.coordinator.instancesListed(instances, fleet.now);
+        fleet.run(Duration(5));
+        ASSERT_THAT(fleet.starts, SizeIs(1));
+        EXPECT_EQ(fleet.starts[0].worker.id, WorkerId("w3"));
+    }
+
+    // Seen in a hunt on celazime-prod, trouble-2 with seed 670273343623 (TWICE): the platform answers "done" as well
+    // when an earlier coordinator had the instance maintained, and the worker that came back with it goes on.
+    TEST_F(AcceptedMaintenance, LeavesTheWorkerOfAnInstanceThatWasMaintainedBefore)
+    {
+        fleet.coordinator.instancesListed(instances, fleet.now);
+        pass(Duration(300), { "w1", "w2" });
+        EXPECT_THAT(fleet.starts, IsEmpty());
+        EXPECT_EQ(fleet.coordinator.workers().find(WorkerId("w1"))->runs.size(), 1u);
+    }
+
 } // namespace
 } // namespace marigoldlink
