--- a/unittests/Entry/WavesTest.cpp
+++ b/unittests/Entry/WavesTest.cpp
@@ -110,6 +110,7 @@
             fleet.settle(); // the worker's
             fleet.starts.clear();
             fleet.coordinator.instanceAnswered("m-w1", InstanceAnswer::Done, fleet.now);
+            fleet.run(Duration(1));
             // A list that was asked for before the call was accepted says nothing of it.
             fleet.coordinator.instancesListed(instances, fleet.now);
             fleet.run(Duration(20));
