Submissions whose record cannot be sent are refused in time, and calls that may be done are followed to their caller's deadline

A batch that the store refused counts as not sent. An entry whose call may be done tries again until its caller's deadline, not until 2 s. They need interfaces that the code before did not have.

--- a/include/marigoldlink/Coordination/Journal.h
+++ b/include/marigoldlink/Coordination/Journal.h
@@ -48,6 +48,9 @@
     void put(const std::string& key, std::string value);
     void remove(const std::string& key);
 
+    // Takes a record back that surely was not written and never will be. False when it may be written.
+    bool withdraw(const std::string& key);
+
     // The batch to send now, or nothing while one is under way or none waits. A batch without an answer is returned
     // again, unchanged.
     std::optional<JournalBatch> next();
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -115,6 +115,8 @@
     void batchStored(const JournalBatch&, TimePoint now);
     void releaseReplies(const JobId&);
     void forgetOldJobs(TimePoint now);
+    // Refuses submissions whose record has waited too long to be sent, so that their callers can come back.
+    void refuseUnsent(TimePoint now);
 
     // Runs.
     bool isUsable(const Worker&, TimePoint now) const;
@@ -204,6 +206,7 @@
     std::uint64_t m_batchNumber { 0 }; // of the batch that was sent last
     std::set<WorkerId> m_unrecorded; // workers whose record is not given to the journal yet
     std::set<JobId> m_unwritten; // accepted, and the record not given to the journal yet
+    std::map<JobId, TimePoint> m_unstored; // accepted, and the record not stored yet
     std::map<std::pair<WorkerId, TaskKey>, TimePoint> m_stopRetries; // next time to send the stop again
     std::map<std::pair<WorkerId, TaskKey>, TimePoint> m_confirmedAt; // the worker surely knew the run from then on
     struct DoubtfulStart {
--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -76,6 +76,7 @@
         auto& pending = m_calls[id];
         pending.request = std::move(request);
         pending.callback = std::move(callback);
+        pending.latest = m_loop.now() + time;
         pending.timer = m_loop.after(std::min(time, m_settings.longestWait), [this, id] { expire(id); });
         tryCall(id);
     }
@@ -85,6 +86,7 @@
         FleetCallRequest request;
         CallCallback callback;
         EventLoop::Timer timer;
+        TimePoint latest; // the caller waits until then
         bool isUnderWay { false };
         bool mayBeDone { false }; // some try had no answer
     };
@@ -295,8 +297,14 @@
 
     void expire(std::uint64_t id)
     {
-        const auto& pending = m_calls.at(id);
+        auto& pending = m_calls.at(id);
         const bool mayBeDone = pending.mayBeDone || pending.isUnderWay;
+        const auto now = m_loop.now();
+        // A next try can still tell what became of it, and the caller cannot.
+        if (mayBeDone && now + Duration(s_retryMs) < pending.latest) {
+            pending.timer = m_loop.after(pending.latest - now, [this, id] { expire(id); });
+            return;
+        }
         finish(id, { mayBeDone ? CallResult::Kind::Unknown : CallResult::Kind::NotReached, {} });
     }
 
--- a/lib/Coordination/Journal.cpp
+++ b/lib/Coordination/Journal.cpp
@@ -1,6 +1,7 @@
 // Batches, retries and their resolution.
 #include "marigoldlink/Coordination/Journal.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace marigoldlink {
@@ -34,6 +35,22 @@
         m_order.push_back(key);
 }
 
+bool Journal::withdraw(const std::string& key)
+{
+    const bool isSent = m_current && (m_isWriting || m_isUncertain);
+    const auto hasKey = [&key](const auto& put) { return put.first == key; };
+    if (m_current && std::any_of(m_current->puts.begin(), m_current->puts.end(), hasKey)) {
+        if (isSent)
+            return false;
+        std::erase_if(m_current->puts, hasKey);
+        if (m_current->puts.empty() && m_current->removals.empty())
+            m_current.reset();
+    }
+    if (m_waiting.erase(key))
+        std::erase(m_order, key);
+    return true;
+}
+
 std::optional<JournalBatch> Journal::next()
 {
     if (m_isWriting || m_needsHeadRead || m_hasLost)
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -16,6 +16,11 @@
     // Wait before a write that the store refused or did not answer is sent again.
     constexpr Duration s_journalRetryDelay { 150 };
     constexpr Duration s_forgetPeriod { 5000 };
+    // A submission whose record cannot be sent for so long is refused. Shorter than other entries wait for an answer
+    // (NodeSettings::peerTimeout), after which they can no longer tell whether the job was accepted.
+    constexpr Duration s_submissionPatience { 700 };
+    // Time to come back after that; the store's troubles last seconds.
+    constexpr Duration s_storeRetryAfter { 1000 };
     // Short tasks mostly end within this time on an instance that is kept free for maintenance.
     constexpr Duration s_wavePatience { 1500 };
     // Longest time between two ticks while nothing is due.
@@ -157,6 +162,7 @@
     auto& job = m_jobs.accept(std::move(spec), queue, now);
     ++job.version;
     m_unwritten.insert(id);
+    m_unstored[id] = now;
     if (!job.spec.schedule.isTimed())
         m_arrivals.try_emplace(job.queue.service, s_arrivalMemory)
             .first->second.add(now, workWithin(m_settings.moveTime + s_joinTime, job.spec));
@@ -336,6 +342,33 @@
         m_replies.erase(found);
 }
 
+void Coordinator::refuseUnsent(TimePoint now)
+{
+    for (const auto& [id, since] : std::map(m_unstored)) {
+        const auto* job = m_jobs.find(id);
+        if (!job || job->storedVersion) {
+            m_unstored.erase(id);
+            continue;
+        }
+        if (now < since + s_submissionPatience) {
+            m_nextTick = std::min(m_nextTick, since + s_submissionPatience);
+            continue;
+        }
+        if (!job->isActive() || !m_journal.withdraw(records::job(id)))
+            continue;
+        log("job", id.value(), "refused: its record could not be sent to the store");
+        m_waitingMarks.erase(records::job(id));
+        m_batchMarks.erase(records::job(id));
+        m_unstored.erase(id);
+        m_unwritten.erase(id);
+        m_jobs.remove(id);
+        if (const auto replies = m_replies.extract(id)) {
+            for (const auto& pending : replies.mapped())
+                m_orders.emplace_back(ReplyOrder { pending.token, { Reply::Kind::Refused, {}, 0, s_storeRetryAfter } });
+        }
+    }
+}
+
 void Coordinator::forgetOldJobs(TimePoint now)
 {
     m_nextForget = now + s_forgetPeriod;
@@ -385,6 +418,7 @@
     runWaves(now);
     sizePools(now);
     placeTasks(now);
+    refuseUnsent(now);
     if (m_nextForget <= now)
         forgetOldJobs(now);
     if (m_nextFlush <= now) {
--- a/unittests/Coordination/JournalTest.cpp
+++ b/unittests/Coordination/JournalTest.cpp
@@ -103,6 +103,26 @@
         RC_ASSERT(service.records[name] == last);
 }
 
+TEST(Journal, ARecordIsWithdrawnOnlyIfItSurelyIsNotWritten)
+{
+    Journal journal(Revision(1));
+    journal.put("a", "1");
+    EXPECT_TRUE(journal.withdraw("a")) << "not sent";
+    EXPECT_FALSE(journal.next());
+    journal.put("a", "1");
+    journal.put("b", "1");
+    ASSERT_TRUE(journal.next());
+    EXPECT_FALSE(journal.withdraw("a")) << "under way";
+    journal.answered(JournalAnswer::Refused, noRevision);
+    EXPECT_TRUE(journal.withdraw("a")) << "refused by the store";
+    const auto batch = journal.next();
+    ASSERT_TRUE(batch);
+    EXPECT_EQ(batch->puts.size(), 1u);
+    EXPECT_EQ(batch->puts[0].first, "b");
+    journal.answered(JournalAnswer::Unknown, noRevision);
+    EXPECT_FALSE(journal.withdraw("b")) << "it may be written late";
+}
+
 TEST(Journal, AnotherWriterEndsIt)
 {
     Service service;
--- a/unittests/Entry/FleetModel.h
+++ b/unittests/Entry/FleetModel.h
@@ -140,6 +140,7 @@
     }
 
     std::size_t accepted() const { return m_accepted.size(); }
+    std::size_t refused() const { return m_refused.size(); }
     int starts() const { return m_starts; }
     std::uint64_t terms() const { return m_term; }
 
@@ -445,6 +446,8 @@
             if (worker.running.contains(order.task))
                 breakRule("TWICE: " + order.task.text() + " runs on " + id.value() + " already");
         }
+        if (m_refused.contains(order.task.job))
+            breakRule("REFUSED: " + order.task.text() + " starts though its job was refused");
         if (m_notedDone.contains(order.task))
             breakRule("TWICE: " + order.task.text() + " started after its end was acknowledged");
         if (m_notedFailures[order.task] >= attempts)
@@ -614,8 +617,12 @@
     void send(const NodePtr&, const ReplyOrder& order)
     {
         const auto found = m_tokens.find(order.token);
-        if (found != m_tokens.end() && order.reply.kind == Reply::Kind::Accepted)
+        if (found == m_tokens.end())
+            return;
+        if (order.reply.kind == Reply::Kind::Accepted)
             m_accepted.insert(found->second);
+        else if (order.reply.kind == Reply::Kind::Refused)
+            m_refused.insert(found->second);
     }
 
     void send(const NodePtr& node, const ListInstancesOrder&) { node->coordinator->instancesListed({}, m_now); }
@@ -646,6 +653,7 @@
     std::map<JobId, JobSpec> m_specs;
     std::map<CallToken, JobId> m_tokens;
     std::set<JobId> m_accepted;
+    std::set<JobId> m_refused;
     std::set<TaskKey> m_notedDone;
     std::set<TaskKey> m_everDone;
     std::map<TaskKey, int> m_everFailed;
