Larger entry instances are preferred as coordinators

Cause: on the grown deployments instances have 0.12 to 0.5 of a core. Change: an instance registers its share of a core; the smaller ones wait up to 0.4 s before they stand, and a coordinator resigns in favour of a larger instance that has registered since, once for each registration. Among equals nothing changes. Tests: Coordination.Succession.*.

--- a/include/marigoldlink/Entry/Election.h
+++ b/include/marigoldlink/Entry/Election.h
@@ -51,9 +51,10 @@
     using OnElected = std::function<void(const Ownership&)>;
     using OnLost = std::function<void()>;
     using OnOwner = std::function<void()>; // another owner, or none, is known, or the own lease was renewed
+    using YieldTime = std::function<Duration()>; // how long to let others stand first
 
     Election(EventLoop& loop, Platform& platform, Endpoint self, ElectionLimits limits, OnElected onElected,
-        OnLost onLost, OnOwner onOwner)
+        OnLost onLost, OnOwner onOwner, YieldTime yieldTime)
         : m_loop(loop)
         , m_platform(platform)
         , m_self(std::move(self))
@@ -61,6 +62,7 @@
         , m_onElected(std::move(onElected))
         , m_onLost(std::move(onLost))
         , m_onOwner(std::move(onOwner))
+        , m_yieldTime(std::move(yieldTime))
         , m_follower(loop, platform, records::owner, {}, [this](const auto&) { ownerChanged(); })
     {
     }
@@ -139,7 +141,17 @@
         if (m_isRetired || m_isStanding)
             return;
         m_isStanding = true;
-        openLease(m_limits.ttl);
+        const auto yield = m_yieldTime();
+        if (yield <= Duration(0)) {
+            openLease(m_limits.ttl);
+            return;
+        }
+        m_loop.after(yield, [this] {
+            if (m_isRetired || m_ownership || m_follower.values().contains(records::owner))
+                m_isStanding = false;
+            else
+                openLease(m_limits.ttl);
+        });
     }
 
     void openLease(Duration ttl)
@@ -263,6 +275,7 @@
     OnElected m_onElected;
     OnLost m_onLost;
     OnOwner m_onOwner;
+    YieldTime m_yieldTime;
     StoreFollower<Platform> m_follower;
     std::optional<Endpoint> m_owner;
     Revision m_ownerRevision { noRevision }; // of the latest owner's record that is known here
--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -2,6 +2,7 @@
 // wherever it runs.
 #pragma once
 
+#include "marigoldlink/Coordination/Succession.h"
 #include "marigoldlink/Entry/CoordinatorRunner.h"
 #include "marigoldlink/Entry/PeerCalls.h"
 #include "marigoldlink/Transport/HttpClient.h"
@@ -15,6 +16,7 @@
 struct NodeSettings {
     Endpoint peers; // where other entry instances call this one
     CoordinatorSettings coordinator;
+    double processors { 1 }; // share of a core that this instance has
     Duration peerTimeout { 1000 }; // one try to reach the coordinator
     Duration longestWait { 2000 }; // for a coordinator, when none is known
 };
@@ -45,11 +47,12 @@
               [this](
                   const HttpRequest& request, HttpResponderPtr responder) { servePeer(request, std::move(responder)); })
         , m_operatorFollower(loop, platform, platform.operatorPrefix(), {}, [this](const auto&) { operatorsChanged(); })
-        , m_memberFollower(
-              loop, platform, s_memberPrefix, { s_memberWait, Duration(s_registerRetryMs) }, [](const auto&) {})
+        , m_memberFollower(loop, platform, s_memberPrefix, { s_memberWait, Duration(s_registerRetryMs) },
+              [this](const auto&) { considerHandover(); })
+        , m_succession(m_settings.processors, {})
         , m_election(
               loop, platform, m_settings.peers, {}, [this](const Ownership& ownership) { elected(ownership); },
-              [this] { dismissed(); }, [this] { ownerChanged(); })
+              [this] { dismissed(); }, [this] { ownerChanged(); }, [this] { return m_succession.yield(contenders()); })
     {
     }
 
@@ -139,6 +142,7 @@
             return;
         if (m_runner->isReady()) {
             retryCalls();
+            considerHandover();
             return;
         }
         m_loop.after(Duration(s_readyPollMs), [this] { awaitRunner(); });
@@ -157,12 +161,35 @@
             waiting({ Reply::Kind::NotCoordinator, {}, 0, {} }, true);
     }
 
+    // The other entry instances, and this one, as they have registered.
+    std::vector<Contender> contenders() const
+    {
+        std::vector<Contender> contenders;
+        for (const auto& [key, value] : m_memberFollower.values())
+            contenders.push_back({ decodeMember(value.value), value.revision });
+        return contenders;
+    }
+
+    // A coordinator on a small instance gives its part to a larger one, once it has let it start.
+    void considerHandover()
+    {
+        if (!m_runner || !m_runner->isReady() || !m_succession.shouldHandOver(contenders()))
+            return;
+        m_loop.after(s_handoverDelay, [this] {
+            if (!m_runner)
+                return;
+            s_log.info("Hands over to a larger instance.");
+            m_election.resign();
+        });
+    }
+
     // Peers: what one instance learns from another while it does not reach the key-value service.
 
     void registerMember()
     {
         StoreWrite call;
-        call.puts = { { s_memberPrefix + m_settings.peers.text(), "{}", StoreLease::None } };
+        call.puts
+            = { { s_memberPrefix + m_settings.peers.text(), encodeMember(m_settings.processors), StoreLease::None } };
         m_platform.write(call, [this](const StoreWriteResult& result) {
             if (result.status != StoreWriteStatus::Done)
                 m_loop.after(Duration(s_registerRetryMs), [this] { registerMember(); });
@@ -394,6 +421,7 @@
     static constexpr Log s_log { "node" };
     static constexpr const char* s_statePath = "/v1/fleet/state";
     static constexpr const char* s_memberPrefix = "marigold/member/";
+    static constexpr Duration s_handoverDelay { 1000 }; // a process that has registered is ready within this time
     static constexpr Duration s_memberWait { 20000 }; // members change seldom
     static constexpr int s_registerRetryMs = 500;
     static constexpr int s_questionPeriodMs = 250;
@@ -417,6 +445,7 @@
     HttpServer m_server;
     StoreFollower<Platform> m_operatorFollower;
     StoreFollower<Platform> m_memberFollower;
+    Succession m_succession;
     Election<Platform> m_election;
     TimePoint m_nextQuestion; // to a peer
     std::size_t m_nextPeer { 0 };
--- a/include/marigoldlink/Protocol/JobCodec.h
+++ b/include/marigoldlink/Protocol/JobCodec.h
@@ -29,6 +29,10 @@
 std::string encodeWorker(const WorkerRecord&);
 WorkerRecord decodeWorker(const WorkerId&, const std::string& record);
 
+// An entry instance's record: the share of a core that it has. A record that does not tell counts as the smallest.
+std::string encodeMember(double processors);
+double decodeMember(const std::string& record);
+
 // The state of a wave as operators read it.
 std::string encodeWaveStatus(bool isComplete);
 
--- a/lib/Protocol/JobCodec.cpp
+++ b/lib/Protocol/JobCodec.cpp
@@ -189,6 +189,15 @@
     });
 }
 
+std::string encodeMember(double processors) { return Json { { "processors", processors } }.dump(); }
+
+double decodeMember(const std::string& record)
+{
+    const auto json = Json::parse(record, nullptr, false);
+    const auto found = json.is_object() ? json.find("processors") : json.end();
+    return found != json.end() && found->is_number() ? found->get<double>() : 0;
+}
+
 std::string encodeWaveStatus(bool isComplete)
 {
     return Json { { "state", isComplete ? "complete" : "running" } }.dump();
