--- a/unittests/Entry/AdviceTest.cpp
+++ b/unittests/Entry/AdviceTest.cpp
@@ -15,12 +15,7 @@
         {
             fleet.operators.config.queues.at(QueueId("checks")).needsAdvice = true;
             fleet.coordinator.setOperators(fleet.operators, fleet.now);
-            fleet.addWorker("w1");
-            fleet.addWorker("w2");
-            fleet.run(Duration(5));
-            fleet.answerLooks();
-            fleet.coordinator.restored(fleet.now);
-            fleet.settle();
+            fleet.begin({ "w1", "w2" });
         }
 
         void answer(const std::map<WorkerId, std::string>& tickets, Duration valid = Duration(3000))
--- a/unittests/Entry/CoordinatorHarness.h
+++ b/unittests/Entry/CoordinatorHarness.h
@@ -52,6 +52,39 @@
 
     static TaskKey task(const std::string& id, int index = 0, int step = 0) { return { JobId(id), 0, step, index }; }
 
+    // A first coordinator with workers that it has recorded.
+    void begin(const std::vector<std::string>& workerIds)
+    {
+        for (const auto& id : workerIds)
+            addWorker(id);
+        run(Duration(5));
+        answerLooks();
+        coordinator.restored(now);
+        settle();
+    }
+
+    // Ends the takeover: one worker has answered its first look, the other has not.
+    void takeOverWithout(const std::string& silent, const std::string& answering)
+    {
+        run(Duration(5));
+        answerLooks({}, {}, answering);
+        failLooks(silent);
+        coordinator.restored(now);
+        settle();
+    }
+
+    // Lets the time pass until a number of starts were ordered, at the most so long. Returns the time that it took.
+    Duration waitForStarts(std::size_t count, Duration most, const std::string& silent, const std::string& answering)
+    {
+        const auto since = now;
+        while (starts.size() < count && now < since + most) {
+            run(Duration(50));
+            answerLooks({}, {}, answering);
+            failLooks(silent);
+        }
+        return now - since;
+    }
+
     // Runs the coordinator for the time and gathers its orders.
     void run(Duration time)
     {
--- a/unittests/Entry/MetricsTest.cpp
+++ b/unittests/Entry/MetricsTest.cpp
@@ -53,11 +53,7 @@
     {
         FleetMetrics metrics;
         CoordinatorHarness fleet({ 10, 1 }, { {}, [&](const Measurement& measurement) { metrics.take(measurement); } });
-        fleet.addWorker("w1");
-        fleet.run(Duration(5));
-        fleet.answerLooks();
-        fleet.coordinator.restored(fleet.now);
-        fleet.settle();
+        fleet.begin({ "w1" });
         fleet.accept(CoordinatorHarness::job("a"));
         fleet.run(Duration(5));
         ASSERT_EQ(fleet.starts.size(), 1u);
--- a/unittests/Entry/SubmissionsTest.cpp
+++ b/unittests/Entry/SubmissionsTest.cpp
@@ -13,11 +13,7 @@
     TEST(Submissions, AreRefusedInTimeWhenTheirRecordCannotBeSent)
     {
         CoordinatorHarness fleet;
-        fleet.addWorker("w1");
-        fleet.run(Duration(5));
-        fleet.answerLooks();
-        fleet.coordinator.restored(fleet.now);
-        fleet.settle();
+        fleet.begin({ "w1" });
         fleet.coordinator.submit(CallToken(1), CoordinatorHarness::job("sent"), fleet.now);
         fleet.run(Duration(20));
         ASSERT_TRUE(fleet.batch) << "its write is under way and has no answer";
--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -84,11 +84,7 @@
         fleet.addWorker("w1");
         fleet.coordinator.restoreWorker(fleet.addWorker("w2"), std::nullopt, fleet.now);
         fleet.coordinator.restoreJob(CoordinatorHarness::job("a"), {}, fleet.now);
-        fleet.run(Duration(5));
-        fleet.answerLooks({}, {}, "w1");
-        fleet.failLooks("w2");
-        fleet.coordinator.restored(fleet.now);
-        fleet.settle();
+        fleet.takeOverWithout("w2", "w1");
         for (int i = 0; i < 60; ++i) {
             fleet.run(Duration(100));
             fleet.answerLooks({}, {}, "w1");
@@ -137,11 +133,7 @@
         recorded.service = ServiceId("gates");
         fleet.coordinator.restoreWorker(recorded, std::set<TaskKey> {}, fleet.now);
         fleet.coordinator.restoreJob(CoordinatorHarness::job("a"), {}, fleet.now);
-        fleet.run(Duration(5));
-        fleet.answerLooks({}, {}, "w1");
-        fleet.failLooks("w2");
-        fleet.coordinator.restored(fleet.now);
-        fleet.settle();
+        fleet.takeOverWithout("w2", "w1");
         EXPECT_THAT(fleet.starts, SizeIs(1));
     }
 
@@ -153,11 +145,7 @@
         fleet.coordinator.restoreWorker(fleet.addWorker("w2"), std::nullopt, fleet.now);
         fleet.coordinator.restoreJob(CoordinatorHarness::job("a"), {}, fleet.now);
         const auto begin = fleet.now;
-        fleet.run(Duration(5));
-        fleet.answerLooks({}, {}, "w1");
-        fleet.failLooks("w2");
-        fleet.coordinator.restored(fleet.now);
-        fleet.settle();
+        fleet.takeOverWithout("w2", "w1");
         while (fleet.starts.empty() && fleet.now < begin + Duration(10000)) {
             fleet.run(Duration(50));
             fleet.answerLooks({}, {}, "w1");
@@ -175,11 +163,7 @@
         fleet.addWorker("w1");
         fleet.addWorker("w2"); // in the registry, and without a record
         fleet.coordinator.restoreJob(CoordinatorHarness::job("a"), {}, fleet.now);
-        fleet.run(Duration(5));
-        fleet.answerLooks({}, {}, "w1");
-        fleet.failLooks("w2");
-        fleet.coordinator.restored(fleet.now);
-        fleet.settle();
+        fleet.takeOverWithout("w2", "w1");
         EXPECT_THAT(fleet.starts, SizeIs(1));
     }
 
@@ -192,31 +176,18 @@
             fleet.addWorker("w2"), std::set<TaskKey> { CoordinatorHarness::task("a", 0) }, fleet.now);
         fleet.coordinator.restoreJob(CoordinatorHarness::job("a", 2), {}, fleet.now);
         fleet.coordinator.restoreJob(CoordinatorHarness::job("b", 1), {}, fleet.now);
-        fleet.run(Duration(5));
-        fleet.answerLooks({}, {}, "w1");
-        fleet.failLooks("w2");
-        fleet.coordinator.restored(fleet.now);
-        fleet.settle();
+        fleet.takeOverWithout("w2", "w1");
         ASSERT_THAT(fleet.starts, SizeIs(2));
         for (const auto& start : fleet.starts)
             EXPECT_NE(start.task, CoordinatorHarness::task("a", 0));
-        const auto begin = fleet.now;
-        while (fleet.starts.size() < 3 && fleet.now < begin + Duration(10000)) {
-            fleet.run(Duration(50));
-            fleet.answerLooks({}, {}, "w1");
-            fleet.failLooks("w2");
-        }
-        EXPECT_GE(fleet.now - begin, Duration(6900)) << "late orders of the predecessor and their leases";
+        EXPECT_GE(fleet.waitForStarts(3, Duration(10000), "w2", "w1"), Duration(6900))
+            << "late orders of the predecessor and their leases";
     }
 
     TEST(Takeover, TheRecordOfAWorkerThatStopsAnsweringNamesWhatRunsThere)
     {
         CoordinatorHarness fleet;
-        fleet.addWorker("w1");
-        fleet.run(Duration(5));
-        fleet.answerLooks();
-        fleet.coordinator.restored(fleet.now);
-        fleet.settle();
+        fleet.begin({ "w1" });
         fleet.accept(CoordinatorHarness::job("a"));
         fleet.run(Duration(5));
         ASSERT_THAT(fleet.starts, SizeIs(1));
