A worker is not used while the store holds its closed record

Cause, found by reading: when a worker answered again while its closed record was being written, the end of that write counted as the record of its use; a successor would have read the closed record although new runs had been started since. Change: only a stored open record lets a worker be used. Needs of later steps are compared resource by resource. Test: Entry.Takeover.AWorkerIsNotUsedWhileTheStoreHoldsItsClosedRecord, seen failing.

--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -306,7 +306,9 @@
     for (const auto& [key, value] : batch.puts) {
         if (key.starts_with(records::workerPrefix)) {
             const WorkerId id(key.substr(records::workerPrefix.size()));
-            if (auto* worker = m_workers.find(id); worker && !worker->isClosed && !m_unrecorded.contains(id))
+            // A closed record may be stored after the worker has answered again; its open one follows.
+            if (auto* worker = m_workers.find(id);
+                worker && !worker->isClosed && !m_unrecorded.contains(id) && !decodeWorker(id, value).onlyRuns)
                 worker->isRecorded = true;
         }
         const auto mark = marks.find(key);
--- a/lib/Entry/CoordinatorPools.cpp
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -15,6 +15,13 @@
     // Wait before an instance whose move was refused is moved again.
     constexpr Duration s_refusedMoveDelay { 1000 };
 
+    // The larger amount of each resource.
+    Resources larger(const Resources& left, const Resources& right)
+    {
+        return { std::max(left.milliCores, right.milliCores), std::max(left.memoryMegabytes, right.memoryMegabytes),
+            std::max(left.accelerators, right.accelerators) };
+    }
+
     Resources times(const Resources& resources, int count)
     {
         return { resources.milliCores * count, resources.memoryMegabytes * count, resources.accelerators * count };
@@ -45,26 +52,18 @@
         if (!spec.requiredLabel.empty())
             (*part)[spec.requiredLabel] += need;
     }
-    for (const auto& [label, need] : next) {
-        auto& larger = now[label];
-        larger = larger.milliCores < need.milliCores ? need : larger;
-    }
+    for (const auto& [label, need] : next)
+        now[label] = larger(now[label], need);
     return now;
 }
 
 Coordinator::FleetBounds Coordinator::fleetBounds() const
 {
     FleetBounds bounds;
-    const auto extend = [&bounds](const std::string& label, const Resources& capacity) {
-        auto& largest = bounds[label];
-        largest.milliCores = std::max(largest.milliCores, capacity.milliCores);
-        largest.memoryMegabytes = std::max(largest.memoryMegabytes, capacity.memoryMegabytes);
-        largest.accelerators = std::max(largest.accelerators, capacity.accelerators);
-    };
     for (const auto& [id, instance] : m_instances) {
-        extend({}, instance.capacity);
+        bounds[{}] = larger(bounds[{}], instance.capacity);
         for (const auto& label : instance.labels)
-            extend(label, instance.capacity);
+            bounds[label] = larger(bounds[label], instance.capacity);
     }
     return bounds;
 }
--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -222,6 +222,24 @@
         EXPECT_TRUE(fleet.coordinator.workers().find(WorkerId("w1"))->isRecorded);
     }
 
+    TEST(Takeover, AWorkerIsNotUsedWhileTheStoreHoldsItsClosedRecord)
+    {
+        CoordinatorHarness fleet;
+        fleet.begin({ "w1" });
+        fleet.run(Duration(5));
+        fleet.failLooks("w1");
+        fleet.run(Duration(60));
+        ASSERT_TRUE(fleet.batch) << "the closed record is on its way";
+        fleet.run(Duration(300));
+        fleet.answerLooks();
+        fleet.run(Duration(60)); // the open record waits behind it
+        fleet.answerJournal();
+        EXPECT_FALSE(fleet.coordinator.workers().find(WorkerId("w1"))->isRecorded);
+        fleet.run(Duration(5));
+        fleet.answerJournal();
+        EXPECT_TRUE(fleet.coordinator.workers().find(WorkerId("w1"))->isRecorded);
+    }
+
     // Entries lapse while the store is away; in the bench a successor did not know of a worker that still ran a task.
     TEST(Takeover, AWorkerThatLeftTheRegistryIsStillCountedWith)
     {
