marigold-load: a worker's record that was not read is read again, and told of

The load tool took a record that it could not read for an empty one, without a word. Whether that is what happened then is not proved: the run left no line of it. Change: the read is logged and tried again five times; a record that stays unread makes the run unclean under its own name. The check is as strict as before.

--- a/tools/marigold-load/Load.cpp
+++ b/tools/marigold-load/Load.cpp
@@ -1,6 +1,8 @@
 // Open-loop load generator.
 #include "Load.h"
 
+#include "marigoldlink/Support/Log.h"
+
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -12,6 +14,8 @@
 
     using Json = nlohmann::json;
 
+    constexpr Log s_log("load");
+    constexpr int s_recordTries = 5;
     constexpr Duration s_answerGrace { 3000 };
     constexpr Duration s_retryPause { 100 };
     constexpr int s_mostTries = 60;
@@ -149,27 +153,41 @@
 
 void Load::readRecords()
 {
-    auto runs = std::make_shared<std::map<std::string, std::size_t>>();
+    auto runs = std::make_shared<Runs>();
     m_unreadRecords = m_options.workers.size();
-    for (const auto& worker : m_options.workers) {
-        m_client.send(worker, { "GET", "/record", {}, {}, Duration(20000) }, [this, runs](HttpOutcome outcome) {
-            --m_unreadRecords;
-            const auto json = Json::parse(outcome.body, nullptr, false);
-            if (!json.is_object())
-                return;
+    for (const auto& worker : m_options.workers)
+        readRecord(worker, runs, s_recordTries);
+    m_loop.runUntil([this] { return m_unreadRecords == 0; });
+    if (!m_options.workers.empty())
+        judge(*runs);
+}
+
+void Load::readRecord(const Endpoint& worker, std::shared_ptr<Runs> runs, int triesLeft)
+{
+    m_client.send(worker, { "GET", "/record", {}, {}, Duration(20000) }, [=, this](const HttpOutcome& outcome) {
+        const auto json = Json::parse(outcome.body, nullptr, false);
+        if (json.is_object()) {
             for (const auto& item : json.at("ran")) {
                 const auto body = Json::parse(item.value("body", ""), nullptr, false);
                 if (body.is_object())
                     ++(*runs)[body.value("id", "")];
             }
-        });
-    }
-    m_loop.runUntil([this] { return m_unreadRecords == 0; });
-    if (!m_options.workers.empty())
-        judge(*runs);
+            --m_unreadRecords;
+            return;
+        }
+        s_log.warning("A worker's record was not read.",
+            { { "worker", worker.text() }, { "status", std::to_string(outcome.status) },
+                { "tries_left", std::to_string(triesLeft - 1) } });
+        if (triesLeft > 1) {
+            m_loop.after(s_retryPause, [=, this] { readRecord(worker, runs, triesLeft - 1); });
+            return;
+        }
+        ++m_verdict.unread;
+        --m_unreadRecords;
+    });
 }
 
-void Load::judge(const std::map<std::string, std::size_t>& runs)
+void Load::judge(const Runs& runs)
 {
     for (const auto& request : m_requests) {
         const auto found = runs.find(request.id);
@@ -190,7 +208,8 @@
 {
     const bool hasCrossed
         = std::any_of(m_results.begin(), m_results.end(), [](const FlowResult& result) { return result.crossed > 0; });
-    return !hasCrossed && m_verdict.doubled == 0 && m_verdict.falselyRefused == 0 && m_verdict.lost == 0;
+    return !hasCrossed && m_verdict.doubled == 0 && m_verdict.falselyRefused == 0 && m_verdict.lost == 0
+        && m_verdict.unread == 0;
 }
 
 std::string Load::report() const
@@ -207,7 +226,8 @@
     }
     return Json {
         { "flows", flows }, { "doubled", m_verdict.doubled }, { "falsely_refused", m_verdict.falselyRefused },
-        { "lost", m_verdict.lost }, { "clean", isClean() }, { "examples", m_verdict.examples }
+        { "lost", m_verdict.lost }, { "unread_records", m_verdict.unread }, { "clean", isClean() },
+        { "examples", m_verdict.examples }
     }.dump(2);
 }
 
--- a/tools/marigold-load/Load.h
+++ b/tools/marigold-load/Load.h
@@ -4,6 +4,7 @@
 #include "marigoldlink/Transport/HttpClient.h"
 
 #include <map>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -37,6 +38,7 @@
     std::size_t doubled { 0 }; // non-idempotent ids that ran more than once
     std::size_t falselyRefused { 0 }; // ids refused as "not run" that ran
     std::size_t lost { 0 }; // ids answered that no record shows
+    std::size_t unread { 0 }; // workers whose record could not be read; what they ran counts as lost
     std::vector<std::string> examples;
 };
 
@@ -75,8 +77,11 @@
     void send(std::size_t request);
     void take(std::size_t request, const HttpOutcome&);
     bool tryAgain(std::size_t request);
+    // Counts how often each id ran, by its worker's record.
+    using Runs = std::map<std::string, std::size_t>;
     void readRecords();
-    void judge(const std::map<std::string, std::size_t>& runs);
+    void readRecord(const Endpoint& worker, std::shared_ptr<Runs>, int triesLeft);
+    void judge(const Runs& runs);
 
     EventLoop& m_loop;
     HttpClient m_client;
