Calls that timed out are never delivered later; keys have a horizon where withdrawal is strict

Ruled out: a second owner (its lease had ended in time); a regress of the configuration (versions never decrease). Change: a time-out resets the connection; a call whose time ran out in a pause is not sent; instance orders are void at the end of the owner's lease and with the process, and a successor waits for what may be under way, where fences are not compared. Each entry's view of keys has the time at which its last confirmation was asked for; past the horizon it refuses calls with keys and is not ready; peers pass the time on. Clocks count suspension. A peer's older state changes nothing. Also: the test relay's accepting thread has a member of its own (SIGSEGV in 1 of 15 runs of a process test).

--- /dev/null
+++ b/benchmarks/CoordinatorMeasure.cpp
@@ -0,0 +1,279 @@
+// Processor time of one coordinator for each run, without sockets: workers, journal and instance list are modelled in
+// virtual time. The load has the shape of the users' large deployments: each queue in turn asks five times its mean.
+#include "Measures.h"
+
+#include "marigoldlink/Entry/Coordinator.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <functional>
+#include <map>
+
+namespace marigoldlink::benchmarks {
+
+namespace {
+
+    constexpr int s_pools = 4;
+    constexpr Duration s_seconds { 20000 };
+    constexpr Duration s_turn { 5000 }; // how long a queue has its peak
+    constexpr double s_peak = 3.5; // times the mean load; the others have a twentieth
+    constexpr Duration s_orderTime { 2 }; // until an order is answered
+    constexpr Duration s_storeTime { 5 };
+
+    struct Fleet {
+        int workers { 0 };
+        double jobsASecond { 0 }; // of all queues, on average
+        // True: each worker stands in the pool that it stays in; nothing is moved.
+        bool isFixed { true };
+    };
+
+    struct Tally {
+        std::size_t runs { 0 };
+        std::size_t ticks { 0 };
+        std::size_t looks { 0 };
+        std::size_t moves { 0 };
+        double processorSeconds { 0 };
+        std::vector<std::int64_t> startWaits; // ms from the submission to the first start
+    };
+
+    // The outside of one coordinator.
+    class Model {
+    public:
+        explicit Model(const Fleet& fleet)
+            : m_fleet(fleet)
+            , m_coordinator({}, { 10, 1 }, Journal(Revision(1)), m_now,
+                  { {}, [this](const Measurement& measurement) { take(measurement); } })
+        {
+            OperatorState operators;
+            operators.config.version = 1;
+            for (int i = 0; i < s_pools; ++i) {
+                JobQueue queue;
+                queue.id = QueueId("queue-" + std::to_string(i));
+                queue.service = service(i);
+                queue.attempts = 3;
+                queue.stretch = 1.5;
+                queue.slack = Duration(600);
+                operators.config.queues.emplace(queue.id, queue);
+                operators.config.pools.emplace(queue.service, WorkerPool { queue.service, false, false });
+            }
+            m_coordinator.setOperators(operators, m_now);
+            std::vector<FleetInstance> instances;
+            for (int i = 0; i < fleet.workers; ++i)
+                instances.push_back(addWorker(i));
+            run(Duration(10));
+            m_coordinator.restored(m_now);
+            m_coordinator.instancesListed(instances, m_now);
+            m_instances = std::move(instances);
+            run(Duration(500));
+        }
+
+        Tally play()
+        {
+            m_tally = {};
+            for (Duration at { 0 }; at < s_seconds; at += Duration(1))
+                later(at, [this] { arrivals(); });
+            run(s_seconds + Duration(3000));
+            return m_tally;
+        }
+
+    private:
+        static ServiceId service(int pool) { return ServiceId("service-" + std::to_string(pool)); }
+
+        FleetInstance addWorker(int index)
+        {
+            WorkerEntry entry;
+            entry.life = { WorkerId("i-" + std::to_string(1000000 + index)), 1 };
+            entry.service = service(index % s_pools);
+            entry.dataCenter = DataCenterId("dc-" + std::to_string(index % 5));
+            entry.capacity = { 64000, 128000, 0 };
+            entry.rack = RackId("r-" + std::to_string(index / 20));
+            entry.endpoint = { "127.0.0.1", 1 };
+            m_coordinator.workerEntry(entry, m_now);
+            FleetInstance instance;
+            instance.id = "m-" + std::to_string(index);
+            instance.pool = entry.service;
+            instance.worker = entry.life.id;
+            instance.capacity = entry.capacity;
+            return instance;
+        }
+
+        void arrivals()
+        {
+            const auto turn = (m_now.time_since_epoch() / s_turn) % s_pools;
+            for (int i = 0; i < s_pools; ++i) {
+                const auto rate = m_fleet.jobsASecond / s_pools * (i == turn ? s_peak : 0.05);
+                m_owed[i] += rate / 1000;
+                for (; m_owed[i] >= 1; m_owed[i] -= 1)
+                    submit(i);
+            }
+        }
+
+        void submit(int queue)
+        {
+            JobSpec spec;
+            char id[17];
+            std::snprintf(id, sizeof(id), "%016llx", ++m_jobs * 0x9E3779B97F4A7C15ull);
+            spec.id = JobId(id);
+            spec.queue = QueueId("queue-" + std::to_string(queue));
+            spec.team = TeamId("team-" + std::to_string(m_jobs % 60));
+            spec.payload = "payload";
+            const bool isLarge = queue % 2;
+            StepSpec step;
+            step.tasks = 8;
+            step.need = { isLarge ? 18000 : 8400, 2000, 0 };
+            step.estimate = Duration(isLarge ? 1300 : 800);
+            spec.steps = { step, step };
+            spec.steps[1].after = { 0 };
+            measured([&] { m_coordinator.submit(CallToken(m_jobs), std::move(spec), m_now); });
+        }
+
+        void later(Duration delay, std::function<void()> event) { m_events.emplace(m_now + delay, std::move(event)); }
+
+        template <typename Call> void measured(Call call)
+        {
+            const auto since = std::chrono::steady_clock::now();
+            call();
+            m_tally.processorSeconds += std::chrono::duration<double>(std::chrono::steady_clock::now() - since).count();
+        }
+
+        void run(Duration time)
+        {
+            const auto end = m_now + time;
+            while (m_now < end) {
+                while (!m_events.empty() && m_events.begin()->first <= m_now) {
+                    auto event = std::move(m_events.begin()->second);
+                    m_events.erase(m_events.begin());
+                    event();
+                }
+                std::vector<Order> orders;
+                measured([&] {
+                    if (m_coordinator.nextTick() <= m_now) {
+                        m_coordinator.tick(m_now, m_now.time_since_epoch().count());
+                        ++m_tally.ticks;
+                    }
+                    orders = m_coordinator.takeOrders();
+                });
+                for (auto& order : orders)
+                    std::visit([this](auto& typed) { carryOut(typed); }, order);
+                m_now += Duration(1);
+            }
+        }
+
+        struct ModelWorker {
+            std::vector<ListedRun> running;
+            std::vector<ListedEnd> ended;
+            std::int64_t ends { 0 };
+            std::optional<LookOrder> look; // that waits for an end
+            std::uint64_t lookNumber { 0 };
+        };
+
+        void carryOut(const StartOrder& order)
+        {
+            ++m_tally.runs;
+            m_workers[order.worker.id].running.push_back({ order.task, order.run, {}, 100, 0 });
+            later(s_orderTime, [this, order] {
+                measured([&] {
+                    m_coordinator.startAnswered(order.worker, order.task, order.run, StartAnswer::Started,
+                        m_now.time_since_epoch().count(), m_now);
+                });
+            });
+            const auto* job = m_coordinator.jobs().find(order.task.job);
+            later(job->stepSpec(order.task).estimate, [this, order] {
+                auto& worker = m_workers[order.worker.id];
+                std::erase_if(worker.running, [&](const ListedRun& run) { return run.task == order.task; });
+                worker.ended.push_back({ ++worker.ends, order.task, order.run, RunEnd::Done, {} });
+                if (worker.look)
+                    answer(worker);
+            });
+        }
+
+        void carryOut(const LookOrder& order)
+        {
+            ++m_tally.looks;
+            auto& worker = m_workers[order.worker.id];
+            std::erase_if(worker.ended, [&](const ListedEnd& end) { return end.number <= order.acknowledged; });
+            worker.look = order;
+            const auto number = ++worker.lookNumber;
+            const auto wait = worker.ended.empty() ? order.wait : Duration(0);
+            later(std::max(wait, s_orderTime), [this, id = order.worker.id, number] {
+                auto& waiting = m_workers[id];
+                if (waiting.look && waiting.lookNumber == number)
+                    answer(waiting);
+            });
+        }
+
+        void answer(ModelWorker& worker)
+        {
+            const auto order = *std::exchange(worker.look, std::nullopt);
+            LookAnswer answer { LookAnswer::Status::Answered, order.worker.bornUnixMs, m_now.time_since_epoch().count(),
+                worker.running, worker.ended };
+            measured([&] { m_coordinator.lookAnswered(order.worker, answer, m_now); });
+        }
+
+        void carryOut(const JournalOrder&)
+        {
+            later(s_storeTime, [this] {
+                measured([&] { m_coordinator.journalAnswered(JournalAnswer::Stored, Revision(++m_revision), m_now); });
+            });
+        }
+
+        void carryOut(const ListInstancesOrder&)
+        {
+            later(s_storeTime, [this] {
+                auto instances = m_instances;
+                measured([&] { m_coordinator.instancesListed(std::move(instances), m_now); });
+            });
+        }
+
+        void carryOut(const MoveOrder& order)
+        {
+            ++m_tally.moves;
+            // A fixed fleet refuses, so that each measurement has the same instances in each pool.
+            later(s_orderTime, [this, order] {
+                measured([&] { m_coordinator.instanceAnswered(order.instance, InstanceAnswer::Invalid, m_now); });
+            });
+        }
+
+        template <typename Other> void carryOut(const Other&) { }
+
+        void take(const Measurement& measurement)
+        {
+            if (const auto* started = std::get_if<JobStarted>(&measurement))
+                m_tally.startWaits.push_back(started->wait.count());
+        }
+
+        Fleet m_fleet;
+        TimePoint m_now { Duration(100000) };
+        Coordinator m_coordinator;
+        std::multimap<TimePoint, std::function<void()>> m_events;
+        std::map<WorkerId, ModelWorker> m_workers;
+        std::vector<FleetInstance> m_instances;
+        std::map<int, double> m_owed;
+        std::uint64_t m_jobs { 0 };
+        std::uint64_t m_revision { 1 };
+        Tally m_tally;
+    };
+
+} // namespace
+
+void measureCoordinator()
+{
+    std::printf("%-8s %-9s %8s %8s %8s %12s %10s %14s %14s\n", "workers", "jobs/s", "runs", "looks", "ticks",
+        "core seconds", "us a run", "p50 start ms", "p95 start ms");
+    for (const Fleet& fleet :
+        { Fleet { 49, 10 }, Fleet { 350, 60 }, Fleet { 1100, 100 }, Fleet { 1100, 200 }, Fleet { 3300, 300 } }) {
+        auto tally = Model(fleet).play();
+        std::sort(tally.startWaits.begin(), tally.startWaits.end());
+        const auto at = [&](double part) {
+            return tally.startWaits[static_cast<std::size_t>(part * static_cast<double>(tally.startWaits.size() - 1))];
+        };
+        std::printf("%-8d %-9.0f %8zu %8zu %8zu %12.2f %10.1f %14lld %14lld\n", fleet.workers, fleet.jobsASecond,
+            tally.runs, tally.looks, tally.ticks, tally.processorSeconds,
+            tally.processorSeconds * 1e6 / static_cast<double>(std::max<std::size_t>(1, tally.runs)),
+            static_cast<long long>(at(0.5)), static_cast<long long>(at(0.95)));
+        std::fflush(stdout);
+    }
+}
+
+} // namespace marigoldlink::benchmarks
--- a/benchmarks/Measures.h
+++ b/benchmarks/Measures.h
@@ -21,4 +21,7 @@
 // Work done while a data centre leaves and returns, against the same time undisturbed.
 void measureDataCenter();
 
+// Processor time of a coordinator for each run, at several sizes of the fleet.
+void measureCoordinator();
+
 } // namespace marigoldlink::benchmarks
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -25,6 +25,8 @@
     Duration statusKept { 120000 }; // ended jobs are told of for at least this long
     Duration maintenanceTime { 2000 }; // an instance is away this long
     Duration moveTime { 1500 };
+    Duration instanceCallTime { 1500 }; // an order for an instance is carried out within it, or never
+    bool comparesInstanceFences { true }; // an order for an instance with a fence lower than an earlier one is refused
     std::string waveStatusPrefix { "wave-status/" }; // keys under which operators read the state of waves
 };
 
@@ -159,6 +161,8 @@
     void paceFillers(Worker&, TimePoint now);
 
     // Instances.
+    // The owner's lease is sure, and no order of an earlier coordinator can follow one of this.
+    bool mayChangeInstances(TimePoint now) const;
     void listInstances(TimePoint now);
     void runWaves(TimePoint now);
     // Stops the services on a worker that is kept free, as far as each can spare a task.
--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -27,6 +27,8 @@
         : m_loop(loop)
         , m_platform(platform)
         , m_ownership(ownership)
+        , m_instanceCallTime(settings.instanceCallTime)
+        , m_comparesInstanceFences(settings.comparesInstanceFences)
         , m_coordinator(std::move(settings), { fence(), ownership.term, ownership.hasPredecessorResigned },
               Journal(ownership.headRevision), loop.now(), std::move(sinks))
         , m_onReply(std::move(onReply))
@@ -64,7 +66,11 @@
     Coordinator& coordinator() { return m_coordinator; }
 
     // The owner's lease was renewed, or time went by without; no other owner is possible before this time.
-    void setSureUntil(TimePoint time) { m_coordinator.setSureUntil(time); }
+    void setSureUntil(TimePoint time)
+    {
+        m_sureUntil = time;
+        m_coordinator.setSureUntil(time);
+    }
 
     // Runs the coordinator after calls of it, and its orders.
     void pump()
@@ -294,16 +300,31 @@
 
     void carryOut(const MoveOrder& order)
     {
-        m_platform.move(order, fence(), answered([this, instance = order.instance](InstanceAnswer answer) {
-            m_coordinator.instanceAnswered(instance, answer, m_loop.now());
-        }));
+        changeInstance(order.instance, [this, &order](Duration allowed, InstanceCallback callback) {
+            m_platform.move(order, fence(), allowed, std::move(callback));
+        });
     }
 
     void carryOut(const MaintainOrder& order)
     {
-        m_platform.maintain(order, fence(), answered([this, instance = order.instance](InstanceAnswer answer) {
+        changeInstance(order.instance, [this, &order](Duration allowed, InstanceCallback callback) {
+            m_platform.maintain(order, fence(), allowed, std::move(callback));
+        });
+    }
+
+    // Sends an order for an instance. Where nobody compares fences it is void once another owner may have been elected,
+    // also if this process was paused since the order was decided.
+    template <typename Send> void changeInstance(const std::string& instance, Send send)
+    {
+        const auto allowed
+            = m_comparesInstanceFences ? m_instanceCallTime : std::min(m_instanceCallTime, m_sureUntil - m_loop.now());
+        auto callback = answered([this, instance](InstanceAnswer answer) {
             m_coordinator.instanceAnswered(instance, answer, m_loop.now());
-        }));
+        });
+        if (allowed > Duration(0))
+            send(allowed, std::move(callback));
+        else
+            m_loop.post([callback]() mutable { callback(InstanceAnswer::Refused); });
     }
 
     void carryOut(const AdviceOrder& order)
@@ -322,6 +343,9 @@
     EventLoop& m_loop;
     Platform& m_platform;
     Ownership m_ownership;
+    Duration m_instanceCallTime;
+    bool m_comparesInstanceFences;
+    TimePoint m_sureUntil; // set before the first order
     Coordinator m_coordinator;
     OnReply m_onReply;
     OnDeposed m_onDeposed;
--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -19,6 +19,7 @@
     double processors { 1 }; // share of a core that this instance has
     Duration peerTimeout { 1000 }; // one try to reach the coordinator
     Duration longestWait { 2000 }; // for a coordinator, when none is known
+    std::optional<Duration> keyHorizon; // no withdrawn key is used later than this; nothing: no bound is kept
 };
 
 // How a call ended for the gateway.
@@ -63,13 +64,23 @@
         m_memberFollower.start();
         m_operatorFollower.start();
         m_election.start();
+        if (m_settings.keyHorizon)
+            m_loop.every(Duration(s_horizonPeriodMs), [this] { keepHorizon(); });
     }
 
     // Hands the coordinator's part to another instance. Calls of callers still go on.
     void retire() { m_election.retire(); }
 
     const OperatorState& operators() const { return m_operators; }
-    bool isReady() const { return m_operators.hasConfig(); }
+    // False while it can serve no call that needs a key.
+    bool isReady() const { return m_operators.hasConfig() && areKeysCurrent(); }
+    // A request that is here now was sent before now. So every key that was withdrawn a horizon before it was sent is
+    // known as withdrawn, whatever pauses there were since the view was confirmed or come until the answer.
+    bool areKeysCurrent() const
+    {
+        return !m_settings.keyHorizon
+            || m_loop.now() < m_operatorFollower.confirmedAt() + *m_settings.keyHorizon - s_clockSlack;
+    }
     bool isCoordinator() const { return m_runner != nullptr; }
 
     // Brings the call to the coordinator, and calls back once, before the time is over.
@@ -183,6 +194,24 @@
         });
     }
 
+    // Tells of a horizon that has passed, and keeps it ahead with what peers know.
+    void keepHorizon()
+    {
+        const bool areCurrent = areKeysCurrent();
+        if (m_areKeysCurrent != areCurrent && m_operatorFollower.isLoaded()) {
+            m_areKeysCurrent = areCurrent;
+            const auto age = std::to_string((m_loop.now() - m_operatorFollower.confirmedAt()).count());
+            const auto version = std::to_string(m_operators.config.version);
+            if (areCurrent)
+                s_log.info("The keys are confirmed again.", { { "config", version }, { "age_ms", age } });
+            else
+                s_log.warning("The keys are not confirmed. Calls with keys are refused.",
+                    { { "config", version }, { "age_ms", age } });
+        }
+        if (!m_operatorFollower.isReached())
+            askPeers();
+    }
+
     // Peers: what one instance learns from another while it does not reach the key-value service.
 
     void registerMember()
@@ -221,11 +250,12 @@
             http.body = encodeKnowledgeCall(m_operatorFollower.revision());
             http.timeout = Duration(s_questionPeriodMs) * 2;
             m_client.send(peers[m_nextPeer++ % peers.size()], std::move(http),
-                [this](const HttpOutcome& outcome) { learn(outcome); });
+                [this, now](const HttpOutcome& outcome) { learn(outcome, now); });
         }
     }
 
-    void learn(const HttpOutcome& outcome)
+    // The age that a peer tells was taken after the question left.
+    void learn(const HttpOutcome& outcome, TimePoint askedAt)
     {
         if (!outcome.isOk())
             return;
@@ -235,8 +265,8 @@
                 return;
             if (knowledge.owner)
                 m_election.learnOwner(*knowledge.owner, knowledge.ownerRevision);
-            if (!knowledge.operatorRecords.empty())
-                m_operatorFollower.offer(std::move(knowledge.operatorRecords), knowledge.operatorRevision);
+            m_operatorFollower.offer(
+                std::move(knowledge.operatorRecords), knowledge.operatorRevision, askedAt - knowledge.age);
         } catch (const Error& error) {
             s_log.error("A peer's state does not parse.", { { "reason", error.what() } });
         }
@@ -424,6 +454,8 @@
     static constexpr Duration s_handoverDelay { 1000 }; // a process that has registered is ready within this time
     static constexpr Duration s_memberWait { 20000 }; // members change seldom
     static constexpr int s_registerRetryMs = 500;
+    static constexpr int s_horizonPeriodMs = 500;
+    static constexpr Duration s_clockSlack { 50 }; // clocks of this instance and of the service differ in rate
     static constexpr int s_questionPeriodMs = 250;
     static constexpr std::size_t s_peersAsked = 2;
     static constexpr int s_oldestKnowledgeMs = 3000; // a watch is confirmed every 1.5 s
@@ -448,6 +480,7 @@
     Succession m_succession;
     Election<Platform> m_election;
     TimePoint m_nextQuestion; // to a peer
+    bool m_areKeysCurrent { true }; // as was logged last
     std::size_t m_nextPeer { 0 };
     OperatorState m_operators;
     std::shared_ptr<CoordinatorRunner<Platform>> m_runner;
--- a/include/marigoldlink/Entry/FleetPlatform.h
+++ b/include/marigoldlink/Entry/FleetPlatform.h
@@ -101,8 +101,8 @@
 
     // The instances.
     platform.listInstances(onList);
-    platform.move(move, fence, onInstance);
-    platform.maintain(maintain, fence, onInstance);
+    platform.move(move, fence, time, onInstance);
+    platform.maintain(maintain, fence, time, onInstance);
 };
 
 } // namespace marigoldlink
--- a/include/marigoldlink/Entry/Measurements.h
+++ b/include/marigoldlink/Entry/Measurements.h
@@ -49,7 +49,17 @@
 };
 
 // How a caller's call ended.
-enum class CallOutcome { Done, UnknownJob, Refused, NotReached, Unknown, KeyRejected, NoSuchQueue, Malformed };
+enum class CallOutcome {
+    Done,
+    UnknownJob,
+    Refused,
+    NotReached,
+    Unknown,
+    KeyRejected,
+    KeysNotCurrent, // the keys that are known here may have been withdrawn
+    NoSuchQueue,
+    Malformed
+};
 const char* name(CallOutcome);
 
 // A call of a caller that was answered.
--- a/include/marigoldlink/Entry/StoreFollower.h
+++ b/include/marigoldlink/Entry/StoreFollower.h
@@ -40,22 +40,27 @@
 
     // True once the whole was read.
     bool isLoaded() const { return m_isLoaded; }
-    // Time of the last answer of the service.
+    // The values hold every change that the service accepted before this time.
     TimePoint confirmedAt() const { return m_confirmedAt; }
     const std::map<std::string, StoredValue>& values() const { return m_values; }
     Revision revision() const { return m_revision; }
     // False from the first call on that the service did not answer.
     bool isReached() const { return m_isReached; }
 
-    // Takes all values as another process read them, if they are newer. The next answer of the service goes on from
-    // its own revision.
-    void offer(std::vector<StoredValue> values, Revision revision)
+    // Takes all values as another process read them, unless those here are as new. They hold every change that was
+    // accepted before the time given. Without values it has the revision that is known here, or an earlier one.
+    void offer(std::vector<StoredValue> values, Revision revision, TimePoint confirmedAt)
     {
-        if (revision <= m_revision || m_isReached)
+        if (m_isStopped || (revision > m_revision && values.empty()))
             return;
-        const auto changed = replace(std::move(values));
-        m_isLoaded = true;
-        if (!changed.empty())
+        std::set<std::string> changed;
+        if (revision > m_revision) {
+            changed = replace(std::move(values));
+            m_revision = revision;
+        }
+        m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+        const bool isFirst = !std::exchange(m_isLoaded, true);
+        if (!changed.empty() || isFirst)
             m_onChange(changed);
     }
 
@@ -89,9 +94,13 @@
             return;
         }
         report(true);
-        m_confirmedAt = sentAt;
-        const auto changed = isWhole ? replace(std::move(result.values)) : apply(std::move(result.values));
-        m_revision = result.revision;
+        m_confirmedAt = std::max(m_confirmedAt, sentAt);
+        // Another process may have told of a later state meanwhile.
+        std::set<std::string> changed;
+        if (result.revision >= m_revision) {
+            changed = isWhole ? replace(std::move(result.values)) : apply(std::move(result.values));
+            m_revision = result.revision;
+        }
         const bool isFirst = !std::exchange(m_isLoaded, true);
         if (!changed.empty() || isFirst)
             m_onChange(changed);
--- a/include/marigoldlink/Support/Settings.h
+++ b/include/marigoldlink/Support/Settings.h
@@ -24,6 +24,8 @@
     std::string choice(std::string_view field, std::string fallback, const std::vector<std::string>& accepted);
     std::int64_t integer(std::string_view field, std::int64_t fallback, std::int64_t low, std::int64_t high);
 
+    bool boolean(std::string_view field, bool fallback);
+
     // A number that may have a fraction.
     double number(std::string_view field, double fallback, double low, double high);
 
--- a/include/marigoldlink/Transport/EventLoop.h
+++ b/include/marigoldlink/Transport/EventLoop.h
@@ -20,7 +20,7 @@
     EventLoop(const EventLoop&) = delete;
     EventLoop& operator=(const EventLoop&) = delete;
 
-    // Monotonic time of this process, in milliseconds.
+    // Monotonic time in milliseconds. It counts the time that the instance was suspended, in which leases run out.
     TimePoint now() const;
 
     // Identifies a timer that was started with after().
--- a/include/marigoldlink/Transport/HttpClient.h
+++ b/include/marigoldlink/Transport/HttpClient.h
@@ -32,7 +32,10 @@
     std::string target { "/" };
     std::string body;
     HttpHeaders headers;
+    // When it is over the connection is reset, and what the peer has not received by then never reaches it.
     Duration timeout { 1000 };
+    // What the peer has not received is dropped as well when this process ends.
+    bool endsWithProcess { false };
 };
 
 class HttpClient {
--- a/lib/Entry/CoordinatorPools.cpp
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -175,7 +175,7 @@
     if (m_nextSizing > now)
         return;
     m_nextSizing = now + s_sizingStep;
-    if (!isSure(now) || m_instances.empty())
+    if (!mayChangeInstances(now) || m_instances.empty())
         return;
     std::erase_if(m_moves, [&](const auto& entry) {
         const auto found = m_instances.find(entry.first);
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -82,6 +82,15 @@
     return load;
 }
 
+bool Coordinator::mayChangeInstances(TimePoint now) const
+{
+    if (!isSure(now))
+        return false;
+    // An earlier coordinator gave up its orders when its lease ended; what had left it by then may still be carried
+    // out.
+    return m_settings.comparesInstanceFences || m_term.number <= 1 || now >= m_startedAt + m_settings.instanceCallTime;
+}
+
 void Coordinator::listInstances(TimePoint now)
 {
     if (m_isListing || m_nextList > now)
@@ -105,7 +114,7 @@
     // An earlier coordinator may have sent calls that it did not record; what they took away is back by then. While
     // there may be a successor, it counts on none.
     const bool isSettled = m_term.number <= 1 || now > m_startedAt + m_settings.maintenanceTime + s_settleSlack;
-    if (!isSettled || !isSure(now))
+    if (!isSettled || !mayChangeInstances(now))
         return;
     // One instance at a time, as each changes what the services can spare.
     const auto steps = m_waves.plan(
--- a/lib/Entry/Orders.cpp
+++ b/lib/Entry/Orders.cpp
@@ -68,6 +68,8 @@
         return "unknown";
     case CallOutcome::KeyRejected:
         return "key_rejected";
+    case CallOutcome::KeysNotCurrent:
+        return "keys_not_current";
     case CallOutcome::NoSuchQueue:
         return "no_such_queue";
     case CallOutcome::Malformed:
--- a/lib/Support/Settings.cpp
+++ b/lib/Support/Settings.cpp
@@ -117,6 +117,17 @@
     return fallback;
 }
 
+bool Settings::boolean(std::string_view field, bool fallback)
+{
+    const auto* node = m_impl->find(field);
+    if (!node)
+        return fallback;
+    if (const auto value = node->value_exact<bool>())
+        return *value;
+    reject(field, "true, false");
+    return fallback;
+}
+
 double Settings::number(std::string_view field, double fallback, double low, double high)
 {
     const auto* node = m_impl->find(field);
--- a/lib/Transport/EventLoop.cpp
+++ b/lib/Transport/EventLoop.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <ctime>
 #include <fcntl.h>
 #include <system_error>
 #include <unistd.h>
@@ -65,7 +66,13 @@
     h2o_socket_read_start(h2o_evloop_socket_create(m_native, ends[0], 0), discardBytes);
 }
 
-TimePoint EventLoop::now() const { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+TimePoint EventLoop::now() const
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
 
 EventLoop::Timer EventLoop::after(Duration delay, Callback callback)
 {
--- a/lib/Transport/HttpClient.cpp
+++ b/lib/Transport/HttpClient.cpp
@@ -8,6 +8,7 @@
 #include <cassert>
 #include <map>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unordered_map>
 
 namespace marigoldlink {
@@ -37,6 +38,14 @@
         return false;
     }
 
+    // Closing the socket from now on resets the connection and drops what the peer has not acknowledged. Otherwise the
+    // kernel would go on delivering it, after a healed cut also many seconds later.
+    void dropUnsentOnClose(h2o_socket_t* socket)
+    {
+        const linger reset { 1, 0 };
+        ::setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+
 } // namespace
 
 struct HttpClient::Impl {
@@ -50,6 +59,8 @@
         HttpOutcome outcome;
         // Invariant: true from the moment the request was handed to the socket.
         bool sent { false };
+        bool endsWithProcess { false };
+        TimePoint latest;
         std::uint64_t id { 0 };
         EventLoop::Timer timeout;
     };
@@ -102,11 +113,14 @@
         h2o_http1client_t* client, const char* error, h2o_iovec_t** buffers, std::size_t* count, int* isHead)
     {
         auto* call = static_cast<Call*>(client->data);
-        if (error) {
+        // After a pause of the process a connection may be ready before the time-out was noticed.
+        if (error || call->owner->loop.now() >= call->latest) {
             call->client = nullptr;
             call->owner->finish(call, HttpOutcome::Kind::NotSent);
             return nullptr;
         }
+        if (call->endsWithProcess)
+            dropUnsentOnClose(client->sock);
         call->sent = true;
         call->buffers[0] = h2o_iovec_init(call->head.data(), call->head.size());
         call->buffers[1] = h2o_iovec_init(call->body.data(), call->body.size());
@@ -168,8 +182,11 @@
         if (found == calls.end())
             return;
         auto* call = found->second.get();
-        if (call->client)
+        if (call->client) {
+            if (call->client->sock)
+                dropUnsentOnClose(call->client->sock);
             h2o_http1client_cancel(call->client);
+        }
         finish(call, call->sent ? HttpOutcome::Kind::Lost : HttpOutcome::Kind::NotSent);
     }
 };
@@ -203,6 +220,8 @@
         raw->head += headerName + ": " + value + "\r\n";
     raw->head += "\r\n";
     raw->body = std::move(request.body);
+    raw->endsWithProcess = request.endsWithProcess;
+    raw->latest = m_impl->loop.now() + request.timeout;
     m_impl->sent += raw->head.size() + raw->body.size();
     m_impl->calls.emplace(raw->id, std::move(call));
     raw->timeout = m_impl->loop.after(request.timeout, [impl = m_impl.get(), id = raw->id] { impl->expire(id); });
--- a/test/Relay.cpp
+++ b/test/Relay.cpp
@@ -49,15 +49,15 @@
     ::listen(m_listener, 256);
     ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length);
     m_endpoint = { "127.0.0.1", ntohs(address.sin_port) };
-    m_threads.emplace_back([this] { accept(); });
+    m_accepting = std::thread([this] { accept(); });
 }
 
 Relay::~Relay()
 {
     m_isStopping = true;
-    m_threads.front().join();
-    for (std::size_t i = 1; i < m_threads.size(); ++i)
-        m_threads[i].join();
+    m_accepting.join();
+    for (auto& thread : m_serving)
+        thread.join();
     ::close(m_listener);
 }
 
@@ -87,7 +87,7 @@
             continue;
         const int downstream = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
         if (downstream >= 0)
-            m_threads.emplace_back([this, downstream] { serve(downstream); });
+            m_serving.emplace_back([this, downstream] { serve(downstream); });
     }
 }
 
--- a/test/Relay.h
+++ b/test/Relay.h
@@ -35,7 +35,8 @@
     Endpoint m_target;
     std::set<std::string> m_cut;
     std::atomic<bool> m_isStopping { false };
-    std::vector<std::thread> m_threads;
+    std::thread m_accepting;
+    std::vector<std::thread> m_serving; // changed by the accepting thread alone while that runs
 };
 
 } // namespace marigoldlink::testing
--- a/unittests/Entry/CoordinatorHarness.h
+++ b/unittests/Entry/CoordinatorHarness.h
@@ -9,8 +9,8 @@
 
 class CoordinatorHarness {
 public:
-    explicit CoordinatorHarness(Term term = { 10, 1 }, CoordinatorSinks sinks = {})
-        : coordinator({}, term, Journal(Revision(1)), now, std::move(sinks))
+    explicit CoordinatorHarness(Term term = { 10, 1 }, CoordinatorSinks sinks = {}, CoordinatorSettings settings = {})
+        : coordinator(std::move(settings), term, Journal(Revision(1)), now, std::move(sinks))
     {
         operators.config.version = 1;
         JobQueue queue;
--- /dev/null
+++ b/unittests/Entry/KeyHorizonTest.cpp
@@ -0,0 +1,142 @@
+// How old the view of the operators' records may be, and what instances learn of it from each other.
+#include "ScriptedPlatform.h"
+#include "marigoldlink/Entry/FleetNode.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace marigoldlink {
+namespace {
+
+    constexpr Duration s_horizon { 1000 };
+    constexpr const char* s_prefix = "operators/";
+
+    StoredValue config(const char* text, std::uint64_t revision)
+    {
+        return { "operators/config", text, Revision(revision) };
+    }
+
+    class Follower : public testing::Test {
+    protected:
+        Follower()
+        {
+            follower.start();
+            platform.answer(s_prefix, StoreStatus::Ok, Revision(10), { config("1", 10) });
+        }
+
+        std::string value() const { return follower.values().at("operators/config").value; }
+
+        EventLoop loop;
+        ScriptedPlatform platform;
+        StoreFollower<ScriptedPlatform> follower { loop, platform, s_prefix, {}, [](const auto&) {} };
+    };
+
+    TEST_F(Follower, AnAnswerConfirmsTheTimeAtWhichItWasAskedFor)
+    {
+        const auto before = loop.now();
+        std::this_thread::sleep_for(Duration(30));
+        platform.answer(s_prefix, StoreStatus::Ok, Revision(10));
+        EXPECT_LE(follower.confirmedAt(), before);
+    }
+
+    TEST_F(Follower, APeerWithTheSameRevisionConfirmsTheView)
+    {
+        const auto confirmed = follower.confirmedAt() + Duration(500);
+        follower.offer({}, Revision(10), confirmed);
+        EXPECT_EQ(follower.confirmedAt(), confirmed);
+    }
+
+    TEST_F(Follower, APeerWithALaterRevisionButWithoutItsValuesConfirmsNothing)
+    {
+        const auto before = follower.confirmedAt();
+        follower.offer({}, Revision(11), before + Duration(500));
+        EXPECT_EQ(follower.confirmedAt(), before);
+    }
+
+    TEST_F(Follower, APeerWithAnOlderViewDoesNotBringItBack)
+    {
+        follower.offer({ config("2", 20) }, Revision(20), loop.now());
+        follower.offer({ config("1", 10) }, Revision(15), loop.now());
+        EXPECT_EQ(value(), "2");
+    }
+
+    TEST_F(Follower, AnAnswerThatIsOlderThanWhatAPeerToldDoesNotBringItBack)
+    {
+        follower.offer({ config("3", 30) }, Revision(30), loop.now());
+        platform.answer(s_prefix, StoreStatus::Ok, Revision(20), { config("2", 20) });
+        EXPECT_EQ(value(), "3");
+        ASSERT_EQ(platform.reads.size(), 1u);
+        EXPECT_EQ(platform.reads.front().after, Revision(30));
+    }
+
+    class KeyHorizon : public testing::Test {
+    protected:
+        explicit KeyHorizon(std::optional<Duration> horizon = s_horizon)
+            : node(loop, platform, settings(horizon), {})
+        {
+            node.start();
+            platform.answer(s_prefix, StoreStatus::Ok, Revision(10), { config("1", 10) });
+        }
+
+        static NodeSettings settings(std::optional<Duration> horizon)
+        {
+            NodeSettings settings;
+            settings.peers = { "127.0.0.1", 0 };
+            settings.keyHorizon = horizon;
+            return settings;
+        }
+
+        void pass(Duration time)
+        {
+            const auto until = loop.now() + time;
+            loop.after(time, [] {});
+            loop.runUntil([&] { return loop.now() >= until; });
+        }
+
+        EventLoop loop;
+        ScriptedPlatform platform;
+        FleetNode<ScriptedPlatform> node;
+    };
+
+    // Seen on agl-appraise, scale-2 and trouble-3 (CONFIG): an instance that the store refused served calls with a key
+    // that had been withdrawn more than five seconds before.
+    TEST_F(KeyHorizon, KeysAreNotUsedOnceTheViewIsOlder)
+    {
+        EXPECT_TRUE(node.isReady());
+        pass(s_horizon);
+        EXPECT_FALSE(node.areKeysCurrent());
+        EXPECT_FALSE(node.isReady());
+    }
+
+    TEST_F(KeyHorizon, AnAnswerToAnOldQuestionDoesNotMakeTheViewNew)
+    {
+        pass(s_horizon);
+        platform.answer(s_prefix, StoreStatus::Ok, Revision(10));
+        EXPECT_FALSE(node.areKeysCurrent()) << "the watch was sent a horizon ago";
+        platform.answer(s_prefix, StoreStatus::Ok, Revision(10));
+        EXPECT_TRUE(node.areKeysCurrent());
+    }
+
+    // The process stands still, and so do its timers; the view grows old all the same.
+    TEST_F(KeyHorizon, APauseCounts)
+    {
+        std::this_thread::sleep_for(s_horizon);
+        EXPECT_FALSE(node.areKeysCurrent());
+    }
+
+    class NoKeyHorizon : public KeyHorizon {
+    protected:
+        NoKeyHorizon()
+            : KeyHorizon(std::nullopt)
+        {
+        }
+    };
+
+    TEST_F(NoKeyHorizon, WithoutABoundTheViewDoesNotExpire)
+    {
+        pass(s_horizon);
+        EXPECT_TRUE(node.isReady());
+    }
+
+} // namespace
+} // namespace marigoldlink
--- /dev/null
+++ b/unittests/Entry/ScriptedPlatform.h
@@ -0,0 +1,70 @@
+// A platform whose key-value service answers reads and watches when the test says so. All other calls stay unanswered.
+#pragma once
+
+#include "marigoldlink/Entry/FleetPlatform.h"
+
+#include <deque>
+
+namespace marigoldlink {
+
+class ScriptedPlatform {
+public:
+    struct Read {
+        std::string prefix;
+        Revision after { noRevision }; // of a watch
+        RangeCallback callback;
+    };
+    std::deque<Read> reads; // without an answer so far, in their order
+
+    // Answers the oldest read of the prefix. Returns false if there is none.
+    bool answer(const std::string& prefix, StoreStatus status, Revision revision, std::vector<StoredValue> values = {})
+    {
+        const auto found
+            = std::find_if(reads.begin(), reads.end(), [&](const Read& read) { return read.prefix == prefix; });
+        if (found == reads.end())
+            return false;
+        const auto callback = std::move(found->callback);
+        reads.erase(found);
+        callback({ status, revision, std::move(values) });
+        return true;
+    }
+
+    void range(const std::string& prefix, RangeCallback callback)
+    {
+        reads.push_back({ prefix, noRevision, std::move(callback) });
+    }
+    void watch(const std::string& prefix, Revision after, Duration, RangeCallback callback)
+    {
+        reads.push_back({ prefix, after, std::move(callback) });
+    }
+    void write(const StoreWrite&, StoreWriteCallback) { }
+    void openLease(Duration, StoreLeaseCallback) { }
+    void renewLease(StoreLease, StoreLeaseCallback) { }
+    void endLease(StoreLease) { }
+
+    std::string operatorPrefix() const { return "operators/"; }
+    std::string workerPrefix() const { return "workers/"; }
+    // The version of the configuration is its whole text.
+    OperatorState decodeOperators(const std::vector<StoredValue>& values) const
+    {
+        OperatorState state;
+        for (const auto& value : values)
+            state.config.version = std::stoll(value.value);
+        return state;
+    }
+    std::optional<WorkerEntry> decodeWorker(const StoredValue&) const { return std::nullopt; }
+    WorkerId workerId(const std::string& key) const { return WorkerId(key); }
+
+    void start(const StartOrder&, std::uint64_t, StartCallback) { }
+    void stop(const StopOrder&, std::uint64_t, StopOrderCallback) { }
+    void look(const LookOrder&, std::uint64_t, LookCallback) { }
+    void pace(const PaceOrder&, std::uint64_t) { }
+    void advise(const AdviceOrder&, AdviceCallback) { }
+    void listInstances(FleetListCallback) { }
+    void move(const MoveOrder&, std::uint64_t, Duration, InstanceCallback) { }
+    void maintain(const MaintainOrder&, std::uint64_t, Duration, InstanceCallback) { }
+};
+
+static_assert(FleetPlatform<ScriptedPlatform>);
+
+} // namespace marigoldlink
--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -375,5 +375,52 @@
         EXPECT_THAT(fleet.starts, SizeIs(1));
     }
 
+    // A pool that is short and a spare instance, for a coordinator that has taken over.
+    class TakeoverOfInstances : public testing::Test {
+    protected:
+        static CoordinatorSettings settings(bool comparesFences)
+        {
+            CoordinatorSettings settings;
+            settings.comparesInstanceFences = comparesFences;
+            return settings;
+        }
+
+        // The time from the takeover to the first move.
+        static Duration timeToFirstMove(bool comparesFences, Term term)
+        {
+            CoordinatorHarness fleet(term, {}, settings(comparesFences));
+            const auto since = fleet.now;
+            const ServiceId spare("office");
+            fleet.operators.config.pools.emplace(spare, WorkerPool { spare, false, true });
+            fleet.coordinator.setOperators(fleet.operators, fleet.now);
+            fleet.coordinator.restored(fleet.now);
+            FleetInstance instance;
+            instance.id = "m-1";
+            instance.pool = spare;
+            instance.worker = WorkerId("w-spare");
+            instance.capacity = { 8000, 100000, 0 };
+            fleet.coordinator.instancesListed({ instance }, fleet.now);
+            fleet.accept(CoordinatorHarness::job("a"));
+            while (fleet.moves.empty() && fleet.now < since + Duration(5000))
+                fleet.run(Duration(10));
+            return fleet.now - since;
+        }
+    };
+
+    // Seen on agl-appraise, scale-1 (ONE), where nobody compares fences: moves of the coordinator before were carried
+    // out after those of its successor.
+    TEST_F(TakeoverOfInstances, WaitsForOrdersOfBeforeWhereNobodyComparesFences)
+    {
+        EXPECT_GE(timeToFirstMove(false, { 20, 2 }), CoordinatorSettings {}.instanceCallTime);
+        EXPECT_GE(timeToFirstMove(false, { 20, 2, true }), CoordinatorSettings {}.instanceCallTime)
+            << "an owner that resigned may have orders under way";
+    }
+
+    TEST_F(TakeoverOfInstances, DoesNotWaitWhereFencesAreCompared)
+    {
+        EXPECT_LT(timeToFirstMove(true, { 20, 2 }), CoordinatorSettings {}.instanceCallTime);
+        EXPECT_LT(timeToFirstMove(false, { 10, 1 }), CoordinatorSettings {}.instanceCallTime);
+    }
+
 } // namespace
 } // namespace marigoldlink
--- a/unittests/Support/SettingsTest.cpp
+++ b/unittests/Support/SettingsTest.cpp
@@ -25,4 +25,13 @@
     }
 }
 
+TEST(Settings, ReadsTruthValuesAndRejectsOtherTypes)
+{
+    auto settings = Settings::parse("strict = true\nloose = 1\n", "entry.toml");
+    EXPECT_TRUE(settings.boolean("strict", false));
+    EXPECT_TRUE(settings.boolean("absent", true));
+    EXPECT_FALSE(settings.boolean("loose", false));
+    EXPECT_THROW(settings.finish(), std::runtime_error);
+}
+
 } // namespace marigoldlink::testing
--- /dev/null
+++ b/unittests/Transport/HttpClientTest.cpp
@@ -0,0 +1,108 @@
+// What becomes of calls that time out: nothing of them is delivered later.
+#include "marigoldlink/Transport/HttpClient.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace marigoldlink {
+namespace {
+
+    constexpr Duration s_timeout { 50 };
+    constexpr std::size_t s_bodyBytes = 200000; // more than the peer's receive buffer takes
+
+    // A peer that lets connections be made and reads nothing until it is told to.
+    class SilentPeer {
+    public:
+        SilentPeer()
+            : m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+        {
+            const int receiveBytes = 4096;
+            ::setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof(receiveBytes));
+            sockaddr_in address {};
+            address.sin_family = AF_INET;
+            address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            socklen_t length = sizeof(address);
+            ::bind(m_listener, reinterpret_cast<sockaddr*>(&address), length);
+            ::listen(m_listener, 8);
+            ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length);
+            m_endpoint = { "127.0.0.1", ntohs(address.sin_port) };
+        }
+        ~SilentPeer() { ::close(m_listener); }
+
+        const Endpoint& endpoint() const { return m_endpoint; }
+
+        struct Received {
+            std::size_t bytes { 0 };
+            bool isReset { false };
+        };
+
+        // Reads what arrives on the first connection, to its end.
+        Received readAll() const
+        {
+            const int connection = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+            Received received;
+            char buffer[4096];
+            ssize_t size = 0;
+            while ((size = ::recv(connection, buffer, sizeof(buffer), 0)) > 0)
+                received.bytes += static_cast<std::size_t>(size);
+            received.isReset = size < 0;
+            ::close(connection);
+            return received;
+        }
+
+    private:
+        int m_listener;
+        Endpoint m_endpoint;
+    };
+
+    HttpCall order(std::string body)
+    {
+        HttpCall call;
+        call.method = "POST";
+        call.body = std::move(body);
+        call.timeout = s_timeout;
+        return call;
+    }
+
+    class HttpClientTimeouts : public testing::Test {
+    protected:
+        HttpOutcome::Kind send(HttpCall call)
+        {
+            std::optional<HttpOutcome> outcome;
+            m_client.send(m_peer.endpoint(), std::move(call), [&outcome](HttpOutcome ended) { outcome = ended; });
+            if (m_pause > Duration(0))
+                m_loop.post([this] { std::this_thread::sleep_for(m_pause); });
+            m_loop.runUntil([&outcome] { return outcome.has_value(); });
+            return outcome->kind;
+        }
+
+        EventLoop m_loop;
+        HttpClient m_client { m_loop };
+        SilentPeer m_peer;
+        Duration m_pause { 0 }; // of the process, once the connection is being made
+    };
+
+} // namespace
+
+// Seen on agl-appraise, scale-1 (ONE): a data centre was cut off, and when the cut healed the kernel delivered moves
+// that the coordinator had given up five seconds before.
+TEST_F(HttpClientTimeouts, WhatWasNotDeliveredByThenNeverIs)
+{
+    EXPECT_EQ(send(order(std::string(s_bodyBytes, 'x'))), HttpOutcome::Kind::Lost);
+    const auto received = m_peer.readAll();
+    EXPECT_TRUE(received.isReset) << "the kernel still delivers what lay in the socket";
+    EXPECT_LT(received.bytes, s_bodyBytes);
+}
+
+// A process that was paused while it connected must not send the call once its time is over.
+TEST_F(HttpClientTimeouts, ACallWhoseTimeRanOutDuringAPauseIsNotSent)
+{
+    m_pause = s_timeout * 2;
+    EXPECT_EQ(send(order("{}")), HttpOutcome::Kind::NotSent);
+    EXPECT_EQ(m_peer.readAll().bytes, 0u);
+}
+
+} // namespace marigoldlink
