Nothing is started on an instance that was ordered to another pool

Cause: the mark that keeps such a worker free was taken back by the next tick while no wave had work, so tasks were started between the order and the list that showed it, and ended with the move. Change: a mark of its own, which lasts until the move has arrived or was refused.

--- a/include/marigoldlink/Coordination/WorkerBook.h
+++ b/include/marigoldlink/Coordination/WorkerBook.h
@@ -68,7 +68,8 @@
     bool mayHoldEarlierRuns { false };
     std::optional<std::set<TaskKey>> earlierRuns; // if the earlier coordinator's record names them
     bool isDueForMaintenance { false }; // in a wave that has not come to it
-    bool isReserved { false }; // kept free for maintenance or a move: nothing is started here
+    bool isReserved { false }; // kept free for maintenance: nothing is started here
+    bool isMoving { false }; // its instance was ordered to another pool, so it is about to end
     std::map<std::tuple<JobId, int, int>, int> tasksByStep; // of job, occurrence and step
 
     Resources room() const { return entry.capacity - used; }
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -181,6 +181,8 @@
     void maintained(FleetInstance&, TimePoint now);
     void moveRefused(const std::string& instance, InstanceAnswer, TimePoint now);
     void moved(FleetInstance&, const ServiceId& pool, TimePoint now);
+    // The instance has arrived, or stays where it was.
+    void moveEnded(const std::string& instance, TimePoint now);
     // A call for its instance was accepted. It may have been carried out before, for an earlier coordinator or after a
     // lost answer, and then the worker of now goes on: the next list tells.
     void workerMayHaveEnded(const FleetInstance&, TimePoint now);
--- a/lib/Entry/CoordinatorPools.cpp
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -177,14 +177,15 @@
     m_nextSizing = now + s_sizingStep;
     if (!mayChangeInstances(now) || m_instances.empty())
         return;
-    std::erase_if(m_moves, [&](const auto& entry) {
-        const auto found = m_instances.find(entry.first);
-        if (found == m_instances.end())
-            return true;
-        const bool hasArrived = found->second.pool == entry.second.pool && found->second.state == InstanceState::Up;
-        const auto age = now - entry.second.since;
-        return (hasArrived && age > m_settings.moveTime) || age > m_settings.moveTime + s_listLag;
-    });
+    for (const auto& [id, move] : std::map(m_moves)) {
+        const auto found = m_instances.find(id);
+        const bool hasArrived
+            = found != m_instances.end() && found->second.pool == move.pool && found->second.state == InstanceState::Up;
+        const auto age = now - move.since;
+        if (found == m_instances.end() || (hasArrived && age > m_settings.moveTime)
+            || age > m_settings.moveTime + s_listLag)
+            moveEnded(id, now);
+    }
     const auto* spare = m_operators.config.sparePool();
     std::vector<SizedInstance> instances;
     for (const auto& [id, instance] : m_instances) {
@@ -205,7 +206,7 @@
             "moves from " + m_instances.at(move.instance).pool.value() + " to " + move.pool.value());
         m_moves[move.instance] = { move.pool, now };
         if (auto* worker = m_workers.find(m_instances.at(move.instance).worker))
-            worker->isReserved = true;
+            worker->isMoving = true;
         m_orders.emplace_back(MoveOrder { move.instance, move.pool });
     }
 }
@@ -218,7 +219,18 @@
     if (answer == InstanceAnswer::Invalid)
         m_barredPools[instance].insert(m_moves.at(instance).pool);
     m_moveNotBefore[instance] = now + s_refusedMoveDelay;
+    moveEnded(instance, now);
+}
+
+void Coordinator::moveEnded(const std::string& instance, TimePoint now)
+{
     m_moves.erase(instance);
+    const auto found = m_instances.find(instance);
+    auto* worker = found == m_instances.end() ? nullptr : m_workers.find(found->second.worker);
+    if (!worker || !std::exchange(worker->isMoving, false))
+        return;
+    m_mustPlace = true;
+    m_nextTick = now;
 }
 
 void Coordinator::moved(FleetInstance& instance, const ServiceId& pool, TimePoint now)
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -31,7 +31,7 @@
     if (!isSure(now) && worker.fencedAt >= m_sureUntil)
         return false;
     return worker.isRegistered && worker.isFenced && worker.isRecorded && worker.isAnswering && !worker.entry.isDraining
-        && !worker.isReserved && worker.distrustedUntil <= now
+        && !worker.isReserved && !worker.isMoving && worker.distrustedUntil <= now
         && !m_operators.evacuated.contains(worker.entry.dataCenter);
 }
 
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -147,7 +147,7 @@
         auto* worker = m_workers.find(instance.worker);
         if (!worker)
             continue;
-        worker->isReserved = m_waves.reserved().contains(id) || m_waves.isAway(id) || m_moves.contains(id);
+        worker->isReserved = m_waves.reserved().contains(id) || m_waves.isAway(id);
         worker->isDueForMaintenance = m_waves.isDue(id);
         if (m_waves.reserved().contains(id) && !m_waves.isAway(id))
             drainServices(*worker, now);
--- /dev/null
+++ b/unittests/Entry/MovesTest.cpp
@@ -0,0 +1,60 @@
+// Instances on their way between pools.
+#include "CoordinatorHarness.h"
+
+#include <gmock/gmock.h>
+
+namespace marigoldlink {
+namespace {
+
+    using testing::IsEmpty;
+    using testing::SizeIs;
+
+    // One idle instance in a pool, which the coordinator gives to the spare pool.
+    class Moves : public testing::Test {
+    protected:
+        Moves()
+        {
+            const ServiceId spare("office");
+            fleet.operators.config.pools.emplace(spare, WorkerPool { spare, false, true });
+            fleet.coordinator.setOperators(fleet.operators, fleet.now);
+            fleet.begin({ "w1" });
+            instance.id = "m-1";
+            instance.pool = ServiceId("gates");
+            instance.worker = WorkerId("w1");
+            instance.capacity = { 8000, 100000, 0 };
+            fleet.coordinator.instancesListed({ instance }, fleet.now);
+            for (int i = 0; i < 40 && fleet.moves.empty(); ++i) {
+                fleet.run(Duration(50));
+                fleet.answerLooks();
+            }
+        }
+
+        CoordinatorHarness fleet;
+        FleetInstance instance;
+    };
+
+    // Found by reading, on the large deployment: 142 runs of a quiet day were lost with their worker. What was started
+    // between the order to move an instance and the list that showed it ended with the move.
+    TEST_F(Moves, NothingIsStartedOnAnInstanceThatMoves)
+    {
+        ASSERT_THAT(fleet.moves, SizeIs(1));
+        fleet.accept(CoordinatorHarness::job("a"));
+        fleet.run(Duration(100));
+        fleet.answerLooks();
+        EXPECT_THAT(fleet.starts, IsEmpty()) << "the order is under way";
+        fleet.coordinator.instanceAnswered("m-1", InstanceAnswer::Done, fleet.now);
+        fleet.run(Duration(100));
+        EXPECT_THAT(fleet.starts, IsEmpty()) << "the list has not shown it yet";
+    }
+
+    TEST_F(Moves, AnInstanceWhoseMoveWasRefusedIsUsedAgain)
+    {
+        ASSERT_THAT(fleet.moves, SizeIs(1));
+        fleet.accept(CoordinatorHarness::job("a"));
+        fleet.coordinator.instanceAnswered("m-1", InstanceAnswer::Busy, fleet.now);
+        fleet.run(Duration(5));
+        EXPECT_THAT(fleet.starts, SizeIs(1));
+    }
+
+} // namespace
+} // namespace marigoldlink
