Looks come from a queue by time; scans of all workers are left to a few moments a second

Cause: after the plans, a quarter of the coordinator's processor time went into passing over all workers in each tick: for looks that are due, lapses, ends that wait for the store, and runs of an earlier coordinator (for each open job). Change: a queue of looks, a set of workers with ends, one scan for earlier runs and only until none is left. The benchmark has fleets that are moved between pools, and the longest turn.

--- a/benchmarks/CoordinatorMeasure.cpp
+++ b/benchmarks/CoordinatorMeasure.cpp
@@ -20,11 +20,14 @@
     constexpr double s_peak = 3.5; // times the mean load; the others have a twentieth
     constexpr Duration s_orderTime { 2 }; // until an order is answered
     constexpr Duration s_storeTime { 5 };
+    constexpr Duration s_moveTime { 1500 };
+    const ServiceId s_spare("office");
 
     struct Fleet {
         int workers { 0 };
         double jobsASecond { 0 }; // of all queues, on average
-        // True: each worker stands in the pool that it stays in; nothing is moved.
+        // True: each worker stays in its pool. False: they start in the spare pool and are moved as the coordinator
+        // asks.
         bool isFixed { true };
     };
 
@@ -34,6 +37,7 @@
         std::size_t looks { 0 };
         std::size_t moves { 0 };
         double processorSeconds { 0 };
+        double longestCall { 0 }; // seconds
         std::vector<std::int64_t> startWaits; // ms from the submission to the first start
     };
 
@@ -57,14 +61,13 @@
                 operators.config.queues.emplace(queue.id, queue);
                 operators.config.pools.emplace(queue.service, WorkerPool { queue.service, false, false });
             }
+            operators.config.pools.emplace(s_spare, WorkerPool { s_spare, false, true });
             m_coordinator.setOperators(operators, m_now);
-            std::vector<FleetInstance> instances;
             for (int i = 0; i < fleet.workers; ++i)
-                instances.push_back(addWorker(i));
+                addInstance(i);
             run(Duration(10));
             m_coordinator.restored(m_now);
-            m_coordinator.instancesListed(instances, m_now);
-            m_instances = std::move(instances);
+            m_coordinator.instancesListed(m_instances, m_now);
             run(Duration(500));
         }
 
@@ -80,22 +83,30 @@
     private:
         static ServiceId service(int pool) { return ServiceId("service-" + std::to_string(pool)); }
 
-        FleetInstance addWorker(int index)
+        void addInstance(int index)
         {
-            WorkerEntry entry;
-            entry.life = { WorkerId("i-" + std::to_string(1000000 + index)), 1 };
-            entry.service = service(index % s_pools);
-            entry.dataCenter = DataCenterId("dc-" + std::to_string(index % 5));
-            entry.capacity = { 64000, 128000, 0 };
-            entry.rack = RackId("r-" + std::to_string(index / 20));
-            entry.endpoint = { "127.0.0.1", 1 };
-            m_coordinator.workerEntry(entry, m_now);
             FleetInstance instance;
             instance.id = "m-" + std::to_string(index);
-            instance.pool = entry.service;
+            instance.pool = m_fleet.isFixed ? service(index % s_pools) : s_spare;
+            instance.dataCenter = DataCenterId("dc-" + std::to_string(index % 5));
+            instance.capacity = { 64000, 128000, 0 };
+            m_instances.push_back(instance);
+            addWorker(m_instances.back());
+        }
+
+        // Another worker joins on an instance.
+        void addWorker(FleetInstance& instance)
+        {
+            WorkerEntry entry;
+            entry.life = { WorkerId("i-" + std::to_string(1000000 + m_lives++)), 1 };
+            entry.service = instance.pool;
+            entry.dataCenter = instance.dataCenter;
+            entry.capacity = instance.capacity;
+            entry.rack = RackId("r-" + instance.id.substr(0, instance.id.size() - 1));
+            entry.endpoint = { "127.0.0.1", 1 };
             instance.worker = entry.life.id;
-            instance.capacity = entry.capacity;
-            return instance;
+            instance.state = InstanceState::Up;
+            measured([&] { m_coordinator.workerEntry(entry, m_now); });
         }
 
         void arrivals()
@@ -134,7 +145,9 @@
         {
             const auto since = std::chrono::steady_clock::now();
             call();
-            m_tally.processorSeconds += std::chrono::duration<double>(std::chrono::steady_clock::now() - since).count();
+            const auto seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - since).count();
+            m_tally.processorSeconds += seconds;
+            m_tally.longestCall = std::max(m_tally.longestCall, seconds);
         }
 
         void run(Duration time)
@@ -181,7 +194,8 @@
             const auto* job = m_coordinator.jobs().find(order.task.job);
             later(job->stepSpec(order.task).estimate, [this, order] {
                 auto& worker = m_workers[order.worker.id];
-                std::erase_if(worker.running, [&](const ListedRun& run) { return run.task == order.task; });
+                if (!std::erase_if(worker.running, [&](const ListedRun& run) { return run.task == order.task; }))
+                    return; // its worker is gone
                 worker.ended.push_back({ ++worker.ends, order.task, order.run, RunEnd::Done, {} });
                 if (worker.look)
                     answer(worker);
@@ -229,9 +243,19 @@
         void carryOut(const MoveOrder& order)
         {
             ++m_tally.moves;
-            // A fixed fleet refuses, so that each measurement has the same instances in each pool.
             later(s_orderTime, [this, order] {
-                measured([&] { m_coordinator.instanceAnswered(order.instance, InstanceAnswer::Invalid, m_now); });
+                auto answer = InstanceAnswer::Invalid;
+                if (!m_fleet.isFixed) {
+                    answer = InstanceAnswer::Done;
+                    auto& instance = *std::find_if(m_instances.begin(), m_instances.end(),
+                        [&](const FleetInstance& other) { return other.id == order.instance; });
+                    m_workers.erase(instance.worker);
+                    measured([&] { m_coordinator.workerEntryRemoved(instance.worker, m_now); });
+                    instance.pool = order.pool;
+                    instance.state = InstanceState::Moving;
+                    later(s_moveTime, [this, &instance] { addWorker(instance); });
+                }
+                measured([&] { m_coordinator.instanceAnswered(order.instance, answer, m_now); });
             });
         }
 
@@ -251,6 +275,7 @@
         std::vector<FleetInstance> m_instances;
         std::map<int, double> m_owed;
         std::uint64_t m_jobs { 0 };
+        int m_lives { 0 };
         std::uint64_t m_revision { 1 };
         Tally m_tally;
     };
@@ -259,19 +284,21 @@
 
 void measureCoordinator()
 {
-    std::printf("%-8s %-9s %8s %8s %8s %12s %10s %14s %14s\n", "workers", "jobs/s", "runs", "looks", "ticks",
-        "core seconds", "us a run", "p50 start ms", "p95 start ms");
-    for (const Fleet& fleet :
-        { Fleet { 49, 10 }, Fleet { 350, 60 }, Fleet { 1100, 100 }, Fleet { 1100, 200 }, Fleet { 3300, 300 } }) {
+    std::printf("%-8s %-6s %-7s %8s %8s %8s %8s %8s %10s %8s %8s %8s\n", "workers", "fixed", "jobs/s", "runs", "looks",
+        "ticks", "moves", "cpu s", "us a run", "p50 ms", "p95 ms", "worst ms");
+    for (const Fleet& fleet : { Fleet { 49, 10, true }, Fleet { 350, 60, true }, Fleet { 1100, 100, true },
+             Fleet { 1100, 100, false }, Fleet { 1100, 200, true }, Fleet { 1100, 200, false },
+             Fleet { 3300, 300, true }, Fleet { 3300, 300, false } }) {
         auto tally = Model(fleet).play();
         std::sort(tally.startWaits.begin(), tally.startWaits.end());
         const auto at = [&](double part) {
             return tally.startWaits[static_cast<std::size_t>(part * static_cast<double>(tally.startWaits.size() - 1))];
         };
-        std::printf("%-8d %-9.0f %8zu %8zu %8zu %12.2f %10.1f %14lld %14lld\n", fleet.workers, fleet.jobsASecond,
-            tally.runs, tally.looks, tally.ticks, tally.processorSeconds,
+        std::printf("%-8d %-6s %-7.0f %8zu %8zu %8zu %8zu %8.2f %10.1f %8lld %8lld %8.1f\n", fleet.workers,
+            fleet.isFixed ? "yes" : "no", fleet.jobsASecond, tally.runs, tally.looks, tally.ticks, tally.moves,
+            tally.processorSeconds,
             tally.processorSeconds * 1e6 / static_cast<double>(std::max<std::size_t>(1, tally.runs)),
-            static_cast<long long>(at(0.5)), static_cast<long long>(at(0.95)));
+            static_cast<long long>(at(0.5)), static_cast<long long>(at(0.95)), tally.longestCall * 1000);
         std::fflush(stdout);
     }
 }
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -122,9 +122,13 @@
 
     // Runs.
     bool isUsable(const Worker&, TimePoint now) const;
-    bool isAccountedFor(const Job&) const;
-    // Tasks that may run on workers which have not answered yet.
-    std::set<TaskKey> tasksOutOfReach() const;
+    // What an earlier coordinator may have running on workers that have not answered yet.
+    struct EarlierRuns {
+        std::set<ServiceId> services; // any task of these
+        std::set<TaskKey> tasks;
+        bool areKnown { true }; // no worker may hold any
+    };
+    EarlierRuns earlierRuns() const;
     void placeTasks(TimePoint now);
     // Something changed for the tasks of a service, or for all.
     void placeSoon(const ServiceId&);
@@ -155,6 +159,10 @@
         return m_sureUntil == TimePoint::max() || now < m_sureUntil + m_settings.earlierOrders;
     }
     void lookAtWorkers(TimePoint now);
+    // Looks at the worker at that time, or at the end of the look that is under way.
+    void lookAt(Worker&, TimePoint);
+    void orderLook(Worker&, TimePoint now);
+    void forgetMissing(TimePoint now);
     void forgetWorker(const WorkerId&);
     void dropLapsed(TimePoint now);
     // The worker does not answer: its record will say what may run there.
@@ -225,6 +233,12 @@
     // Starts that were not answered, by worker. They may be carried out late, even by the worker's next life.
     std::map<WorkerId, std::map<TaskKey, DoubtfulStart>> m_doubtfulStarts;
     std::map<WorkerId, TimePoint> m_nextPace;
+    // Invariant: a worker without a look under way stands here with its next look; other entries mean nothing.
+    std::multimap<TimePoint, WorkerId> m_looksDue;
+    std::set<WorkerId> m_withPendingEnds; // invariant: the workers with ends that are not acknowledged
+    bool m_mayHaveEarlierRuns { false }; // some worker may hold runs of an earlier coordinator
+    TimePoint m_nextLapseCheck;
+    TimePoint m_nextMissingCheck;
 
     std::map<std::string, FleetInstance> m_instances;
     WavePlan m_waves;
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -122,7 +122,8 @@
 void Coordinator::restoreWorker(const WorkerEntry& entry, std::optional<std::set<TaskKey>> onlyRuns, TimePoint now)
 {
     m_workers.restore(entry, std::move(onlyRuns), now);
-    m_nextTick = now;
+    m_mayHaveEarlierRuns = true;
+    lookAt(*m_workers.find(entry.life.id), now);
 }
 
 void Coordinator::restored(TimePoint now)
@@ -321,13 +322,16 @@
         m_jobs.stored(mark->second.job, mark->second.version, mark->second.state);
         releaseReplies(mark->second.job);
     }
-    for (auto& [id, worker] : m_workers.workers()) {
-        if (worker.pendingEnds.empty())
-            continue;
-        advanceAcknowledged(worker);
-        if (worker.pendingEnds.empty())
-            worker.nextLook = std::min(worker.nextLook, now);
-    }
+    std::erase_if(m_withPendingEnds, [&](const WorkerId& id) {
+        auto* worker = m_workers.find(id);
+        if (!worker)
+            return true;
+        advanceAcknowledged(*worker);
+        if (!worker->pendingEnds.empty())
+            return false;
+        lookAt(*worker, std::min(worker->nextLook, now));
+        return true;
+    });
     m_nextTick = now;
 }
 
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -45,22 +45,19 @@
         + Duration(static_cast<std::int64_t>(static_cast<double>(m_settings.lease.count()) / LeaseClock::slowestRate));
 }
 
-bool Coordinator::isAccountedFor(const Job& job) const
+Coordinator::EarlierRuns Coordinator::earlierRuns() const
 {
-    return job.isOwn || std::none_of(m_workers.workers().begin(), m_workers.workers().end(), [&](const auto& entry) {
-        const auto& worker = entry.second;
-        return worker.mayHoldEarlierRuns && !worker.earlierRuns && worker.entry.service == job.queue.service;
-    });
-}
-
-std::set<TaskKey> Coordinator::tasksOutOfReach() const
-{
-    std::set<TaskKey> tasks;
+    EarlierRuns runs;
     for (const auto& [id, worker] : m_workers.workers()) {
-        if (worker.mayHoldEarlierRuns && worker.earlierRuns)
-            tasks.insert(worker.earlierRuns->begin(), worker.earlierRuns->end());
+        if (!worker.mayHoldEarlierRuns)
+            continue;
+        runs.areKnown = false;
+        if (worker.earlierRuns)
+            runs.tasks.insert(worker.earlierRuns->begin(), worker.earlierRuns->end());
+        else
+            runs.services.insert(worker.entry.service);
     }
-    return tasks;
+    return runs;
 }
 
 void Coordinator::placeSoon(const ServiceId& service) { m_mustPlace.insert(service); }
@@ -76,11 +73,13 @@
     m_nextTick = std::min(m_nextTick, m_nextPlacement);
     if ((!m_mustPlaceAll && m_mustPlace.empty()) || !m_operators.hasConfig())
         return;
+    auto earlier = m_mayHaveEarlierRuns ? earlierRuns() : EarlierRuns {};
+    m_mayHaveEarlierRuns = !earlier.areKnown;
     Placement placement(
         m_jobs, m_workers, m_operators.config, m_use, m_advice,
         [this, now](const Worker& worker) { return isUsable(worker, now); },
-        [this](const Job& job) { return isAccountedFor(job); });
-    placement.setTasksOutOfReach(tasksOutOfReach());
+        [&earlier](const Job& job) { return job.isOwn || !earlier.services.contains(job.queue.service); });
+    placement.setTasksOutOfReach(std::move(earlier.tasks));
     placement.setFirstRunsOnly(!isSure(now));
     if (!m_mustPlaceAll)
         placement.setServices(m_mustPlace);
@@ -188,8 +187,7 @@
         m_doubtfulStarts[life.id][key] = { run, now };
         stoppedAnswering(*worker);
         worker->recentFailures += 1;
-        worker->nextLook = now;
-        m_nextTick = now;
+        lookAt(*worker, now);
         orderStop(life.id, key, run, now);
         return;
     default:
@@ -198,7 +196,7 @@
     log("task", key.text(), "start on " + life.id.value() + " refused: " + name(answer));
     if (answer == StartAnswer::OtherLife || answer == StartAnswer::NotSent) {
         stoppedAnswering(*worker);
-        worker->nextLook = now;
+        lookAt(*worker, now);
     }
     if (answer == StartAnswer::Unhealthy || answer == StartAnswer::NotSent)
         worker->recentFailures += 1;
@@ -246,8 +244,7 @@
     // From now on the run cannot start any more; the next look tells whether it still winds down.
     m_stopRetries[{ life.id, key }] = now + m_settings.longestLease;
     m_confirmedAt[{ life.id, key }] = now;
-    worker->nextLook = std::min(worker->nextLook, now);
-    m_nextTick = now;
+    lookAt(*worker, std::min(worker->nextLook, now));
 }
 
 void Coordinator::stopRunsOf(const Job& job, TimePoint now)
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -20,6 +20,8 @@
     constexpr Duration s_longestDelay { 15000 };
     // Time between looks while ends wait for a store that does not write.
     constexpr Duration s_unstoredDelay { 250 };
+    constexpr Duration s_missingCheckPeriod { 200 };
+    constexpr Duration s_lapseCheckPeriod { 20 };
     // A worker that left the registry is forgotten after this time without an answer.
     constexpr Duration s_forgetMissing { 10000 };
 
@@ -42,6 +44,8 @@
         beginLife(*m_workers.find(entry.life.id), entry.life.bornUnixMs, now);
     const bool isMoved = !isNew && (known->entry.endpoint != entry.endpoint || known->entry.service != entry.service);
     m_workers.entryChanged(entry);
+    if (isNew)
+        lookAt(*m_workers.find(entry.life.id), now);
     if (isNew || isMoved || !m_workers.find(entry.life.id)->isRecorded)
         m_unrecorded.insert(entry.life.id);
     if (isChanged)
@@ -69,6 +73,7 @@
         runOver(id, key, run.number, RunEnd::Lost, {}, now);
     }
     m_workers.reborn(worker, bornUnixMs);
+    lookAt(worker, now);
     // A start without an answer may still reach the new life, whose clock makes nothing of the order's deadline.
     for (const auto& [key, start] : doubtful) {
         if (now - start.at > s_longestDelay)
@@ -80,42 +85,61 @@
     }
 }
 
+void Coordinator::lookAt(Worker& worker, TimePoint at)
+{
+    worker.nextLook = at;
+    m_looksDue.emplace(at, worker.entry.life.id);
+    m_nextTick = std::min(m_nextTick, at);
+}
+
 void Coordinator::lookAtWorkers(TimePoint now)
 {
+    forgetMissing(now);
+    while (!m_looksDue.empty() && m_looksDue.begin()->first <= now) {
+        const auto id = m_looksDue.extract(m_looksDue.begin()).mapped();
+        // A look that is under way sets the next one when it ends.
+        if (auto* worker = m_workers.find(id); worker && !worker->isLookUnderWay && worker->nextLook <= now)
+            orderLook(*worker, now);
+    }
+    if (!m_looksDue.empty())
+        m_nextTick = std::min(m_nextTick, m_looksDue.begin()->first);
+}
+
+void Coordinator::orderLook(Worker& worker, TimePoint now)
+{
+    const auto pool = m_operators.config.pools.find(worker.entry.service);
+    if (pool != m_operators.config.pools.end() && pool->second.isSpare && worker.runs.empty() && worker.isFenced) {
+        lookAt(worker, now + s_idleWait);
+        return;
+    }
+    advanceAcknowledged(worker);
+    LookOrder order { worker.entry.life, worker.entry.endpoint, std::nullopt, worker.acknowledged, Duration(0) };
+    if (worker.isFenced && worker.isAnswering) {
+        order.wait = worker.runs.empty() ? s_idleWait : s_busyWait;
+        if (m_nextPace.contains(worker.entry.life.id))
+            order.wait = s_pacedWait;
+        if (!worker.pendingEnds.empty())
+            order.wait = Duration(0);
+    }
+    // The lease of a worker that does not answer is left to lapse, so that its tasks can start elsewhere.
+    if (worker.lease.hasReading() && worker.isAnswering && !worker.runs.empty())
+        order.deadlineMs = worker.lease.extend(now, m_settings.lease);
+    worker.isLookUnderWay = true;
+    worker.lookSentAt = now;
+    m_orders.emplace_back(std::move(order));
+}
+
+void Coordinator::forgetMissing(TimePoint now)
+{
+    if (now < m_nextMissingCheck || !m_isRestored)
+        return;
+    m_nextMissingCheck = now + s_missingCheckPeriod;
     std::vector<WorkerId> forgotten;
-    for (auto& [id, worker] : m_workers.workers()) {
+    for (const auto& [id, worker] : m_workers.workers()) {
         const bool isLapsed = worker.isFenced && worker.lease.lapsesBy() <= now;
-        if (!worker.isRegistered && !worker.isAnswering && worker.runs.empty() && m_isRestored
-            && (isLapsed || now - std::max(worker.missingSince, worker.lastAnswer) > s_forgetMissing)) {
+        if (!worker.isRegistered && !worker.isAnswering && worker.runs.empty()
+            && (isLapsed || now - std::max(worker.missingSince, worker.lastAnswer) > s_forgetMissing))
             forgotten.push_back(id);
-            continue;
-        }
-        if (worker.isLookUnderWay)
-            continue;
-        if (worker.nextLook > now) {
-            m_nextTick = std::min(m_nextTick, worker.nextLook);
-            continue;
-        }
-        const auto pool = m_operators.config.pools.find(worker.entry.service);
-        if (pool != m_operators.config.pools.end() && pool->second.isSpare && worker.runs.empty() && worker.isFenced) {
-            worker.nextLook = now + s_idleWait;
-            continue;
-        }
-        advanceAcknowledged(worker);
-        LookOrder order { worker.entry.life, worker.entry.endpoint, std::nullopt, worker.acknowledged, Duration(0) };
-        if (worker.isFenced && worker.isAnswering) {
-            order.wait = worker.runs.empty() ? s_idleWait : s_busyWait;
-            if (m_nextPace.contains(id))
-                order.wait = s_pacedWait;
-            if (!worker.pendingEnds.empty())
-                order.wait = Duration(0);
-        }
-        // The lease of a worker that does not answer is left to lapse, so that its tasks can start elsewhere.
-        if (worker.lease.hasReading() && worker.isAnswering && !worker.runs.empty())
-            order.deadlineMs = worker.lease.extend(now, m_settings.lease);
-        worker.isLookUnderWay = true;
-        worker.lookSentAt = now;
-        m_orders.emplace_back(std::move(order));
     }
     for (const auto& id : forgotten) {
         log("worker", id.value(), "forgotten");
@@ -149,12 +173,14 @@
                 answer.status == LookAnswer::Status::OtherLife ? "another worker is at its address"
                                                                : "does not answer");
         stoppedAnswering(*worker);
-        worker->nextLook = now + s_failedLookDelay;
+        lookAt(*worker, now + s_failedLookDelay);
         return;
     }
     if (answer.bornUnixMs && answer.bornUnixMs != worker->entry.life.bornUnixMs) {
-        if (worker->entry.life.bornUnixMs && answer.bornUnixMs < worker->entry.life.bornUnixMs)
-            return; // an answer of an earlier life came late
+        if (worker->entry.life.bornUnixMs && answer.bornUnixMs < worker->entry.life.bornUnixMs) {
+            lookAt(*worker, worker->nextLook); // an answer of an earlier life came late
+            return;
+        }
         const bool isFirstAnswer = !worker->entry.life.bornUnixMs;
         if (isFirstAnswer) {
             worker->entry.life.bornUnixMs = answer.bornUnixMs;
@@ -186,9 +212,9 @@
     paceFillers(*worker, now);
     advanceAcknowledged(*worker);
     if (worker->lastEndSeen > endsBefore)
-        worker->nextLook = now + s_endDelay;
+        lookAt(*worker, now + s_endDelay);
     else
-        worker->nextLook = worker->pendingEnds.empty() ? now : now + s_unstoredDelay;
+        lookAt(*worker, worker->pendingEnds.empty() ? now : now + s_unstoredDelay);
 }
 
 void Coordinator::takeEnds(Worker& worker, const std::vector<ListedEnd>& ends, TimePoint now)
@@ -203,6 +229,7 @@
         const auto* job = m_jobs.find(end.task.job);
         const auto version = job && job->isDirty() ? job->version : 0;
         worker.pendingEnds.push_back({ end.number, end.task.job, version });
+        m_withPendingEnds.insert(id);
     }
 }
 
@@ -285,8 +312,9 @@
 
 void Coordinator::dropLapsed(TimePoint now)
 {
-    if (!isSure(now))
+    if (!isSure(now) || now < m_nextLapseCheck)
         return;
+    m_nextLapseCheck = now + s_lapseCheckPeriod;
     std::vector<WorkerId> lapsed;
     for (auto& [id, worker] : m_workers.workers()) {
         const bool isWaitedFor = worker.mayHoldEarlierRuns || (worker.isFenced && !worker.runs.empty());
@@ -296,7 +324,7 @@
         if (lapsesBy <= now)
             lapsed.push_back(id);
         else
-            m_nextTick = std::min(m_nextTick, lapsesBy);
+            m_nextTick = std::min(m_nextTick, std::max(lapsesBy, m_nextLapseCheck));
     }
     for (const auto& id : lapsed) {
         auto& worker = *m_workers.find(id);
