A task whose instance was ordered away is not at work, whatever a look still shows

Ruled out: old looks (each has to be fresh) and several orders of one step (each is checked after the one before). Change: the worker carries the mark until the call is refused, or the list shows that the worker goes on.

--- a/include/marigoldlink/Coordination/WorkerBook.h
+++ b/include/marigoldlink/Coordination/WorkerBook.h
@@ -69,6 +69,8 @@
     std::optional<std::set<TaskKey>> earlierRuns; // if the earlier coordinator's record names them
     bool isDueForMaintenance { false }; // in a wave that has not come to it
     bool isReserved { false }; // kept free for maintenance: nothing is started here
+    // Its instance was ordered away for maintenance, and the call was not refused: what it runs may end at any moment.
+    bool isBeingMaintained { false };
     bool isMoving { false }; // its instance was ordered to another pool, so it is about to end
     std::map<std::tuple<JobId, int, int>, int> tasksByStep; // of job, occurrence and step
 
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -41,7 +41,7 @@
         return false;
     // What a worker said long ago, or before it was cut off, says nothing of now.
     const auto* worker = m_workers.find(task.run->worker);
-    return worker && worker->isAnswering && now - worker->lastAnswer <= s_freshLook;
+    return worker && worker->isAnswering && !worker->isBeingMaintained && now - worker->lastAnswer <= s_freshLook;
 }
 
 int Coordinator::awayTasks(const Occurrence& occurrence, int step, TimePoint now) const
@@ -134,14 +134,8 @@
         m_orders.emplace_back(MaintainOrder { step.instance, step.wave, step.number });
         const auto& instance = m_instances.at(step.instance);
         auto* worker = m_workers.find(instance.worker);
-        if (!worker)
-            continue;
-        // Its services count as away from now on.
-        for (const auto& [key, run] : worker->runs) {
-            auto* task = m_jobs.findTask(key);
-            if (task && task->run && task->run->number == run.number)
-                task->run->phase = ActiveRun::Phase::Stopping;
-        }
+        if (worker)
+            worker->isBeingMaintained = true;
     }
     // Which workers are kept free may have changed.
     placeAllSoon();
@@ -205,6 +199,10 @@
         m_waves.unanswered(instance, now);
     } else {
         m_waves.rejected(instance, now);
+        auto* worker = found == m_instances.end() ? nullptr : m_workers.find(found->second.worker);
+        // An earlier call without an answer may still be carried out.
+        if (worker && !m_waves.isAway(instance))
+            worker->isBeingMaintained = false;
     }
 }
 
@@ -233,10 +231,13 @@
         const auto found = m_instances.find(ending.instance);
         const bool goesOn
             = found != m_instances.end() && found->second.state == InstanceState::Up && found->second.worker == id;
-        if (goesOn)
+        if (goesOn) {
+            if (auto* worker = m_workers.find(id))
+                worker->isBeingMaintained = false;
             log("instance", ending.instance, "had been changed before; worker " + id.value() + " goes on");
-        else
+        } else {
             workerEnded(id, now);
+        }
     }
 }
 
--- a/unittests/Entry/WavesTest.cpp
+++ b/unittests/Entry/WavesTest.cpp
@@ -96,6 +96,28 @@
         EXPECT_THAT(fleet.maintenance, IsEmpty());
     }
 
+    // Seen on the large deployment, scale-1 and trouble-3 (AVAIL): while the call for an instance was under way, a look
+    // still showed its task at work, and so the next instance of the same service was taken as well.
+    TEST_F(Waves, ATaskWhoseInstanceWasOrderedAwayIsNotAtWorkWhateverALookShows)
+    {
+        fleet.operators.waves[WaveId("1")].instances = { "m-w1", "m-w2" };
+        fleet.operators.waves[WaveId("1")].mostAtOnce = 2;
+        beginWave();
+        pass(Duration(1200), { "w1", "w2" });
+        EXPECT_THAT(fleet.maintenance, SizeIs(1));
+        EXPECT_THAT(fleet.stops, IsEmpty());
+    }
+
+    TEST_F(Waves, ATaskIsAtWorkAgainWhenItsInstanceWasNotTaken)
+    {
+        beginWave();
+        pass(Duration(400), { "w1", "w2" });
+        ASSERT_THAT(fleet.maintenance, SizeIs(1));
+        fleet.coordinator.instanceAnswered("m-w1", InstanceAnswer::Refused, fleet.now);
+        pass(Duration(1000), { "w1", "w2" });
+        EXPECT_THAT(fleet.maintenance, SizeIs(2)) << "it is tried again";
+    }
+
     class AcceptedMaintenance : public Waves {
     protected:
         // The call for the first worker's instance is accepted.
