The list of instances is read at most every 150 ms, however many calls were accepted

Cause: each accepted move asked for the list anew to learn whether its worker had ended. Change: a shortest time between two readings. The test was seen failing (one reading a move).

--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -15,6 +15,8 @@
     // A call of an earlier coordinator may still be on its way for this long.
     constexpr Duration s_settleSlack { 500 };
     constexpr Duration s_listPeriod { 500 };
+    // Between two readings of the list while it has to tell what accepted calls changed.
+    constexpr Duration s_shortestListPeriod { 150 };
     // What an accepted call changed is written with what follows in this time.
     constexpr Duration s_recordDelay { 20 };
 
@@ -93,8 +95,13 @@
 
 void Coordinator::listInstances(TimePoint now)
 {
-    if (m_isListing || m_nextList > now)
+    if (m_isListing)
         return;
+    const auto next = std::max(m_nextList, m_listAskedAt + s_shortestListPeriod);
+    if (next > now) {
+        m_nextTick = std::min(m_nextTick, next);
+        return;
+    }
     m_isListing = true;
     m_listAskedAt = now;
     m_orders.emplace_back(ListInstancesOrder {});
--- a/unittests/Entry/MovesTest.cpp
+++ b/unittests/Entry/MovesTest.cpp
@@ -56,5 +56,50 @@
         EXPECT_THAT(fleet.starts, SizeIs(1));
     }
 
+    // Pattern: the load turns from one pool to another, and hundreds of instances change their pool within seconds.
+    // Seen on the large deployment: each accepted move asked for the whole list again, 13,900 pages in one day.
+    TEST(MovesOfManyInstances, TheListIsReadAFewTimesASecond)
+    {
+        CoordinatorHarness fleet;
+        const ServiceId spare("office");
+        fleet.operators.config.pools.emplace(spare, WorkerPool { spare, false, true });
+        fleet.coordinator.setOperators(fleet.operators, fleet.now);
+        std::vector<std::string> workers;
+        std::vector<FleetInstance> instances;
+        for (int i = 0; i < 100; ++i) {
+            workers.push_back("w" + std::to_string(i));
+            FleetInstance instance;
+            instance.id = "m-" + std::to_string(i);
+            instance.pool = ServiceId("gates");
+            instance.worker = WorkerId(workers.back());
+            instance.capacity = { 8000, 100000, 0 };
+            instances.push_back(instance);
+        }
+        fleet.begin(workers);
+        for (int i = 0; i < 4; ++i)
+            fleet.settle(); // a write holds some of the workers' records
+        fleet.coordinator.instancesListed(instances, fleet.now);
+        std::size_t accepted = 0;
+        const auto passUntil = [&](TimePoint end) {
+            while (fleet.now < end) {
+                const int listsBefore = fleet.lists;
+                fleet.run(Duration(10));
+                fleet.answerLooks();
+                if (fleet.lists > listsBefore)
+                    fleet.coordinator.instancesListed(instances, fleet.now);
+                if (accepted < fleet.moves.size())
+                    fleet.coordinator.instanceAnswered(
+                        fleet.moves[accepted++].instance, InstanceAnswer::Done, fleet.now);
+            }
+        };
+        while (fleet.moves.empty())
+            passUntil(fleet.now + Duration(10));
+        fleet.lists = 0;
+        passUntil(fleet.now + Duration(1000));
+        EXPECT_GE(accepted, 90u);
+        EXPECT_LE(fleet.lists, 10);
+        EXPECT_GE(fleet.lists, 2);
+    }
+
 } // namespace
 } // namespace marigoldlink
