Followers of many keys gather events

The coordinator's watch of the workers was answered at each of some 13,000 changes. Change: after an answer with events the members' follower asks again after a second, the workers' after 25 ms; what happens meanwhile comes in one answer. The operators' records are followed without delay, as before.

--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -34,7 +34,8 @@
         , m_onReply(std::move(onReply))
         , m_onDeposed(std::move(onDeposed))
         , m_workers(std::make_shared<StoreFollower<Platform>>(loop, platform, platform.workerPrefix(),
-              FollowerLimits {}, [this](const std::set<std::string>& changed) { workersChanged(changed); }))
+              FollowerLimits { .gatherDelay = s_workerGather },
+              [this](const std::set<std::string>& changed) { workersChanged(changed); }))
     {
     }
 
@@ -337,6 +338,7 @@
     void carryOut(const ReplyOrder& order) { m_onReply(order.token, order.reply); }
 
     static constexpr Log s_log { "coordinator" };
+    static constexpr Duration s_workerGather { 25 };
     static constexpr int s_loadRetryMs = 100;
     static constexpr int s_settlePollMs = 5;
 
--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -48,7 +48,8 @@
               [this](
                   const HttpRequest& request, HttpResponderPtr responder) { servePeer(request, std::move(responder)); })
         , m_operatorFollower(loop, platform, platform.operatorPrefix(), {}, [this](const auto&) { operatorsChanged(); })
-        , m_memberFollower(loop, platform, s_memberPrefix, { s_memberWait, Duration(s_registerRetryMs) },
+        , m_memberFollower(loop, platform, s_memberPrefix,
+              { s_memberWait, Duration(s_registerRetryMs), s_memberGather },
               [this](const auto&) { considerHandover(); })
         , m_succession(m_settings.processors, {})
         , m_election(
@@ -453,6 +454,7 @@
     static constexpr const char* s_memberPrefix = "marigold/member/";
     static constexpr Duration s_handoverDelay { 1000 }; // a process that has registered is ready within this time
     static constexpr Duration s_memberWait { 20000 }; // members change seldom
+    static constexpr Duration s_memberGather { 1000 }; // all of them register at once when the fleet starts
     static constexpr int s_registerRetryMs = 500;
     static constexpr int s_horizonPeriodMs = 500;
     static constexpr Duration s_clockSlack { 50 }; // clocks of this instance and of the service differ in rate
--- a/include/marigoldlink/Entry/StoreFollower.h
+++ b/include/marigoldlink/Entry/StoreFollower.h
@@ -18,6 +18,8 @@
     Duration watchWait { 1500 };
     // Wait before the next try while the service does not answer.
     Duration retryDelay { 200 };
+    // Wait after an answer with events. What happens meanwhile comes with one answer, and not each event with its own.
+    Duration gatherDelay { 0 };
 };
 
 template <FleetPlatform Platform> class StoreFollower {
@@ -102,9 +104,13 @@
             m_revision = result.revision;
         }
         const bool isFirst = !std::exchange(m_isLoaded, true);
+        const bool hasEvents = !isWhole && !changed.empty();
         if (!changed.empty() || isFirst)
             m_onChange(changed);
-        next();
+        if (hasEvents && m_limits.gatherDelay > Duration(0))
+            m_loop.after(m_limits.gatherDelay, [this] { next(); });
+        else
+            next();
     }
 
     std::set<std::string> replace(std::vector<StoredValue> values)
--- a/unittests/Entry/KeyHorizonTest.cpp
+++ b/unittests/Entry/KeyHorizonTest.cpp
@@ -69,6 +69,26 @@
         EXPECT_EQ(platform.reads.front().after, Revision(30));
     }
 
+    // Pattern: hundreds of instances register at the same moment, and each follows all of them.
+    TEST(GatheringFollower, EventsThatComeTogetherShareAnAnswer)
+    {
+        EventLoop loop;
+        ScriptedPlatform platform;
+        const Duration gather { 100 };
+        StoreFollower<ScriptedPlatform> follower { loop, platform, s_prefix, { .gatherDelay = gather },
+            [](const auto&) {} };
+        follower.start();
+        platform.answer(s_prefix, StoreStatus::Ok, Revision(10));
+        const auto since = loop.now();
+        platform.answer(s_prefix, StoreStatus::Ok, Revision(11), { config("1", 11) });
+        EXPECT_TRUE(platform.reads.empty()) << "it does not ask again at once";
+        loop.runUntil([&] { return !platform.reads.empty(); });
+        EXPECT_GE(loop.now() - since, gather);
+        EXPECT_EQ(platform.reads.front().after, Revision(11));
+        platform.answer(s_prefix, StoreStatus::Ok, Revision(11));
+        EXPECT_FALSE(platform.reads.empty()) << "an answer without events is followed by the next question";
+    }
+
     class KeyHorizon : public testing::Test {
     protected:
         explicit KeyHorizon(std::optional<Duration> horizon = s_horizon)
