Donors of a pool are ranked once a plan where no pool asks for labels

Change: the rank does not depend on the receiver without labels, so donors are sorted once and taken in order.

--- a/lib/Coordination/PoolSizer.cpp
+++ b/lib/Coordination/PoolSizer.cpp
@@ -181,6 +181,7 @@
             : m_instances(instances)
             , m_spare(spare)
             , m_giveFactor(limits.keepAbove / limits.headroom)
+            , m_isTaken(instances.size())
         {
             for (const auto& [id, demand] : demands) {
                 if (id != spare)
@@ -190,6 +191,10 @@
                 if (auto* pool = poolOf(instance.pool); pool && instance.isUsable)
                     pool->join(instance);
             }
+            m_asksForLabels = std::any_of(
+                m_pools.begin(), m_pools.end(), [](const auto& entry) { return !entry.second.byLabel.empty(); });
+            if (!m_asksForLabels)
+                orderDonors();
         }
 
         // The pool that lacks the largest part of its demand is served first, one instance at a time.
@@ -241,44 +246,80 @@
 
         bool mayMove(const SizedInstance& instance, const ServiceId& target) const
         {
-            return instance.isMovable && !m_taken.contains(instance.id) && instance.pool != target
+            return instance.isMovable && !m_isTaken[indexOf(instance)] && instance.pool != target
                 && !instance.barredPools.contains(target);
         }
 
+        std::size_t indexOf(const SizedInstance& instance) const
+        {
+            return static_cast<std::size_t>(&instance - m_instances.data());
+        }
+
+        // Where no pool asks for a label, the rank of an instance is the same for each receiver and all through the
+        // plan.
+        void orderDonors()
+        {
+            for (const auto& instance : m_instances) {
+                if (instance.isMovable)
+                    m_donors.push_back(&instance);
+            }
+            std::stable_sort(
+                m_donors.begin(), m_donors.end(), [this](const SizedInstance* left, const SizedInstance* right) {
+                    return rank(*left, false) < rank(*right, false);
+                });
+        }
+
+        bool mayGive(const SizedInstance& instance, const ServiceId& receiver)
+        {
+            if (!mayMove(instance, receiver) || !poolOf(receiver)->isHelpedBy(instance))
+                return false;
+            if (instance.pool == m_spare)
+                return true;
+            const auto* pool = poolOf(instance.pool);
+            return pool && pool->canGive(instance, m_giveFactor);
+        }
+
         // The instance that helps the receiver and is missed least; see rank().
         const SizedInstance* donor(const ServiceId& receiver)
         {
+            if (!m_asksForLabels) {
+                while (m_firstDonor < m_donors.size() && m_isTaken[indexOf(*m_donors[m_firstDonor])])
+                    ++m_firstDonor;
+                const auto first = m_donors.begin() + static_cast<std::ptrdiff_t>(m_firstDonor);
+                const auto found = std::find_if(
+                    first, m_donors.end(), [&](const SizedInstance* instance) { return mayGive(*instance, receiver); });
+                return found == m_donors.end() ? nullptr : *found;
+            }
             const SizedInstance* best = nullptr;
             for (const auto& instance : m_instances) {
-                if (!mayMove(instance, receiver) || !poolOf(receiver)->isHelpedBy(instance))
-                    continue;
-                if (instance.pool != m_spare) {
-                    auto* pool = poolOf(instance.pool);
-                    if (!pool || !pool->canGive(instance, m_giveFactor))
-                        continue;
-                }
-                if (!best || rank(instance, receiver) < rank(*best, receiver))
+                if (mayGive(instance, receiver)
+                    && (!best || rank(instance, isKept(instance, receiver)) < rank(*best, isKept(*best, receiver))))
                     best = &instance;
             }
             return best;
         }
 
+        // Whether only other pools ask for the instance's label.
+        bool isKept(const SizedInstance& instance, const ServiceId& receiver)
+        {
+            return !poolOf(receiver)->lacksLabelOf(instance)
+                && std::any_of(m_pools.begin(), m_pools.end(),
+                    [&instance](const auto& entry) { return entry.second.lacksLabelOf(instance); });
+        }
+
         // Lower is better. Instances of the spare pool go first, as nobody misses them, and large ones, as all cost the
         // same. One whose label only others ask for is kept for them. Of other pools the one goes that has been idle
         // longest.
-        std::tuple<bool, bool, std::int64_t> rank(const SizedInstance& instance, const ServiceId& receiver)
+        std::tuple<bool, bool, std::int64_t> rank(const SizedInstance& instance, bool isKept) const
         {
             const bool isSpare = instance.pool == m_spare;
-            const bool isWanted = !poolOf(receiver)->lacksLabelOf(instance)
-                && std::any_of(m_pools.begin(), m_pools.end(),
-                    [&instance](const auto& entry) { return entry.second.lacksLabelOf(instance); });
-            return { !isSpare, isWanted,
+            return { !isSpare, isKept,
                 isSpare ? -instance.capacity.milliCores : instance.idleSince.time_since_epoch().count() };
         }
 
         void move(const SizedInstance& instance, const ServiceId& target)
         {
-            m_taken.insert(instance.id);
+            m_isTaken[indexOf(instance)] = true;
             m_moves.push_back({ instance.id, target });
             if (auto* from = poolOf(instance.pool); from && instance.isUsable)
                 from->leave(instance);
@@ -290,7 +331,10 @@
         ServiceId m_spare;
         double m_giveFactor;
         std::map<ServiceId, PoolState> m_pools;
-        std::set<std::string> m_taken;
+        bool m_asksForLabels { false };
+        std::vector<const SizedInstance*> m_donors; // by rank; empty where a pool asks for labels
+        std::size_t m_firstDonor { 0 }; // invariant: all before it are taken
+        std::vector<bool> m_isTaken; // by the index of the instance
         std::vector<PlannedMove> m_moves;
     };
 
