--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -265,6 +265,7 @@
     std::map<std::string, TimePoint> m_idleSince; // of instances without runs
     TimePoint m_nextSizing;
     TimePoint m_nextPoolReport;
+    Duration m_longestDelay { 0 }; // of a sizing after it was due, since the last report: the lag of the loop
 
     TimePoint m_nextFlush;
     TimePoint m_nextWaveStep;
--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -74,7 +74,14 @@
 
     const OperatorState& operators() const { return m_operators; }
     // False while it can serve no call that needs a key.
-    bool isReady() const { return m_operators.hasConfig() && areKeysCurrent(); }
+    bool isReady() const { return m_operators.hasConfig() && areKeysCurrent() && !isCutOff(); }
+    // It reaches neither the key-value service nor a coordinator. Callers are better off elsewhere; where all instances
+    // are cut off, the balancer uses all of them.
+    bool isCutOff() const
+    {
+        return !m_runner && !m_operatorFollower.isReached() && m_unservedSince
+            && m_loop.now() - *m_unservedSince > s_cutOffAfter;
+    }
     // A request that is here now was sent before now. So every key that was withdrawn a horizon before it was sent is
     // known as withdrawn, whatever pauses there were since the view was confirmed or come until the answer.
     bool areKeysCurrent() const
@@ -143,6 +150,8 @@
 
     void ownerChanged()
     {
+        if (m_election.owner())
+            m_unservedSince.reset(); // the next call tells whether it is reached
         if (m_runner)
             m_runner->setSureUntil(m_election.sureUntil());
         retryCalls();
@@ -306,6 +315,8 @@
         }
         const auto owner = m_election.owner();
         if (!owner || *owner == m_settings.peers) {
+            if (!m_unservedSince)
+                m_unservedSince = m_loop.now();
             if (!m_election.isStoreReached())
                 askPeers();
             return;
@@ -318,6 +329,10 @@
         http.timeout = m_settings.peerTimeout;
         m_client.send(*owner, std::move(http), [this, id](const HttpOutcome& outcome) {
             Reply reply;
+            if (outcome.kind == HttpOutcome::Kind::Answered)
+                m_unservedSince.reset();
+            else if (!m_unservedSince)
+                m_unservedSince = m_loop.now();
             if (outcome.isOk()) {
                 try {
                     reply = decodeReply(outcome.body);
@@ -452,6 +467,7 @@
     static constexpr Log s_log { "node" };
     static constexpr const char* s_statePath = "/v1/fleet/state";
     static constexpr const char* s_memberPrefix = "marigold/member/";
+    static constexpr Duration s_cutOffAfter { 1000 };
     static constexpr Duration s_handoverDelay { 1000 }; // a process that has registered is ready within this time
     static constexpr Duration s_memberWait { 20000 }; // members change seldom
     static constexpr Duration s_memberGather { 1000 }; // all of them register at once when the fleet starts
@@ -483,6 +499,7 @@
     Election<Platform> m_election;
     TimePoint m_nextQuestion; // to a peer
     bool m_areKeysCurrent { true }; // as was logged last
+    std::optional<TimePoint> m_unservedSince; // from then on no call has reached a coordinator
     std::size_t m_nextPeer { 0 };
     OperatorState m_operators;
     std::shared_ptr<CoordinatorRunner<Platform>> m_runner;
--- a/lib/Entry/CoordinatorPools.cpp
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -162,7 +162,9 @@
         for (const auto& [label, part] : demand.byLabel)
             text += ", " + rounded(cores(part.need.milliCores)) + " with " + label;
     }
-    log("coordinator", std::to_string(m_term.fence), text);
+    log("coordinator", std::to_string(m_term.fence),
+        text + "; " + std::to_string(m_journal.waiting()) + " records wait, loop late by "
+            + std::to_string(m_longestDelay.count()) + " ms at most");
     JobsMeasured jobs { m_jobs.activeJobs().size(), 0 };
     for (const auto& [id, job] : m_jobs.activeJobs())
         jobs.waiting += !job->hasStarted;
@@ -174,6 +176,8 @@
     m_nextTick = std::min(m_nextTick, std::max(m_nextSizing, now + Duration(1)));
     if (m_nextSizing > now)
         return;
+    if (m_nextSizing != TimePoint())
+        m_longestDelay = std::max(m_longestDelay, now - m_nextSizing);
     m_nextSizing = now + s_sizingStep;
     if (!mayChangeInstances(now) || m_instances.empty())
         return;
@@ -200,6 +204,7 @@
     if (m_nextPoolReport <= now) {
         m_nextPoolReport = now + s_reportPeriod;
         reportPools(demands, instances);
+        m_longestDelay = Duration(0);
     }
     for (const auto& move : m_sizer.plan(demands, instances, spare ? spare->id : ServiceId(), now)) {
         log("instance", move.instance,
--- a/unittests/Entry/KeyHorizonTest.cpp
+++ b/unittests/Entry/KeyHorizonTest.cpp
@@ -158,5 +158,21 @@
         EXPECT_TRUE(node.isReady());
     }
 
+    // Seen in incident inc-96d3 and on the large deployment's scale-1: callers of a data centre that is cut off wait at
+    // instances that can serve nothing, while others could.
+    TEST_F(NoKeyHorizon, AnInstanceThatReachesNeitherTheServiceNorACoordinatorIsNotReady)
+    {
+        const auto call = [this] {
+            node.call({ FleetCallRequest::Kind::Look, {} }, Duration(5000), [](const CallResult&) {});
+        };
+        call();
+        pass(Duration(1100));
+        EXPECT_TRUE(node.isReady()) << "the service still answers, so a coordinator will be known";
+        platform.answer(s_prefix, StoreStatus::Unavailable, noRevision);
+        EXPECT_FALSE(node.isReady());
+        loop.runUntil([&] { return platform.answer(s_prefix, StoreStatus::Ok, Revision(10)); });
+        EXPECT_TRUE(node.isReady());
+    }
+
 } // namespace
 } // namespace marigoldlink
