--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -265,6 +265,14 @@
     std::map<std::string, TimePoint> m_idleSince; // of instances without runs
     TimePoint m_nextSizing;
     TimePoint m_nextPoolReport;
+    // Writes of the journal since the last report.
+    struct JournalTally {
+        int stored { 0 };
+        int notStored { 0 };
+        std::size_t records { 0 };
+        Duration longest { 0 };
+    };
+    JournalTally m_journalTally;
     Duration m_longestDelay { 0 }; // of a sizing after it was due, since the last report: the lag of the loop
 
     TimePoint m_nextFlush;
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -281,6 +281,9 @@
 {
     measure(JournalWritten { answer, now - m_batchSentAt });
     const auto stored = m_journal.answered(answer, head);
+    ++(stored ? m_journalTally.stored : m_journalTally.notStored);
+    m_journalTally.records += stored ? stored->puts.size() + stored->removals.size() : 0;
+    m_journalTally.longest = std::max(m_journalTally.longest, now - m_batchSentAt);
     if (m_journal.needsHeadRead())
         m_orders.emplace_back(ReadHeadOrder {});
     if (stored) {
--- a/lib/Entry/CoordinatorPools.cpp
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -162,9 +162,12 @@
         for (const auto& [label, part] : demand.byLabel)
             text += ", " + rounded(cores(part.need.milliCores)) + " with " + label;
     }
+    const auto& journal = m_journalTally;
     log("coordinator", std::to_string(m_term.fence),
-        text + "; " + std::to_string(m_journal.waiting()) + " records wait, loop late by "
-            + std::to_string(m_longestDelay.count()) + " ms at most");
+        text + "; " + std::to_string(m_journal.waiting()) + " records wait, " + std::to_string(journal.records) + " in "
+            + std::to_string(journal.stored) + " writes, " + std::to_string(journal.notStored) + " not stored, longest "
+            + std::to_string(journal.longest.count()) + " ms; loop late by " + std::to_string(m_longestDelay.count())
+            + " ms at most");
     JobsMeasured jobs { m_jobs.activeJobs().size(), 0 };
     for (const auto& [id, job] : m_jobs.activeJobs())
         jobs.waiting += !job->hasStarted;
@@ -205,6 +208,7 @@
         m_nextPoolReport = now + s_reportPeriod;
         reportPools(demands, instances);
         m_longestDelay = Duration(0);
+        m_journalTally = {};
     }
     for (const auto& move : m_sizer.plan(demands, instances, spare ? spare->id : ServiceId(), now)) {
         log("instance", move.instance,
