--- a/include/marigoldlink/Coordination/Journal.h
+++ b/include/marigoldlink/Coordination/Journal.h
@@ -33,16 +33,13 @@
 };
 const char* name(JournalAnswer);
 
-// What waits for a record. Records of a lower number are written first, while some places of each batch stay for the
-// others.
+// What waits for a record.
 enum class RecordClass {
-    Accepted, // a caller waits to hear that its job is accepted
-    Worker, // nothing is started on the worker before
-    Ended, // a caller may ask whether its job is complete
-    Progress,
-    Removal,
+    Urgent, // a caller waits to hear that its job is accepted, or starts wait for the worker's record
+    Progress, // what has ended; it is acknowledged to the workers once it is stored
+    Removal, // nothing waits for it
 };
-constexpr std::size_t recordClasses = 5;
+constexpr std::size_t recordClasses = 3;
 
 class Journal {
 public:
@@ -56,8 +53,9 @@
     {
     }
 
-    // Places of each batch that progress and removals have, if they wait.
-    static constexpr std::size_t placesForOthers = 6;
+    // Places of each batch that urgent records have before progress. Progress must not wait for long: workers list what
+    // is not acknowledged again and again.
+    static constexpr std::size_t urgentPlaces = mostRecords / 2;
 
     // Queues a record. A record that waits already under the key is replaced, and has the more urgent class of both.
     void put(const std::string& key, std::string value, RecordClass);
--- a/lib/Coordination/Journal.cpp
+++ b/lib/Coordination/Journal.cpp
@@ -80,10 +80,8 @@
             return std::nullopt;
         m_current = JournalBatch { ++m_number, m_head, {}, {} };
         const auto size = [this] { return m_current->puts.size() + m_current->removals.size(); };
-        for (const auto kind : { RecordClass::Accepted, RecordClass::Worker, RecordClass::Ended })
-            take(kind, mostRecords - placesForOthers - size());
-        for (const auto kind : { RecordClass::Progress, RecordClass::Removal, RecordClass::Accepted,
-                 RecordClass::Worker, RecordClass::Ended })
+        take(RecordClass::Urgent, urgentPlaces);
+        for (const auto kind : { RecordClass::Progress, RecordClass::Urgent, RecordClass::Removal })
             take(kind, mostRecords - size());
     }
     m_isWriting = true;
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -224,7 +224,7 @@
         if (!job)
             continue;
         const auto key = records::job(id);
-        m_journal.put(key, encodeJob(job->spec), RecordClass::Accepted);
+        m_journal.put(key, encodeJob(job->spec), RecordClass::Urgent);
         m_waitingMarks[key] = { id, 1, JobState::Pending };
     }
     for (const auto& id : m_jobs.takeDirty()) {
@@ -232,8 +232,7 @@
         if (!job)
             continue;
         const auto key = records::progress(id);
-        m_journal.put(
-            key, encodeProgress(m_jobs.progress(*job)), job->isActive() ? RecordClass::Progress : RecordClass::Ended);
+        m_journal.put(key, encodeProgress(m_jobs.progress(*job)), RecordClass::Progress);
         m_waitingMarks[key] = { id, job->version, job->state };
     }
     for (const auto& id : std::exchange(m_unrecorded, {})) {
@@ -248,12 +247,12 @@
             for (const auto& [task, run] : worker->runs)
                 record.onlyRuns->insert(task);
         }
-        m_journal.put(records::worker(id), encodeWorker(record), RecordClass::Worker);
+        m_journal.put(records::worker(id), encodeWorker(record), RecordClass::Urgent);
     }
     for (const auto& change : m_waves.takeChanges()) {
-        m_journal.put(records::wave(change.wave), encodeWave(change.finished), RecordClass::Ended);
-        m_journal.put(
-            m_settings.waveStatusPrefix + change.wave.value(), encodeWaveStatus(change.isComplete), RecordClass::Ended);
+        m_journal.put(records::wave(change.wave), encodeWave(change.finished), RecordClass::Progress);
+        m_journal.put(m_settings.waveStatusPrefix + change.wave.value(), encodeWaveStatus(change.isComplete),
+            RecordClass::Progress);
         log("wave", change.wave.value(),
             std::to_string(change.finished.size()) + " instances finished" + (change.isComplete ? ", complete" : ""));
     }
