Endpoints that nobody calls any more are forgotten by the HTTP client

Cause: the client keeps a pool of connections with a timer list for each endpoint, and h2o passes over all lists in each turn of the loop. Change: a pool without calls for ten seconds is disposed of. The test waits for ever on the code before, as nothing was forgotten; it was not run there, since the count is new.

--- a/include/marigoldlink/Coordination/Journal.h
+++ b/include/marigoldlink/Coordination/Journal.h
@@ -93,7 +93,7 @@
     Revision m_head;
     std::uint64_t m_number;
     std::map<std::string, Waiting> m_waiting;
-    // Keys by class, oldest first. Invariant: each of m_waiting stands once in the queue of its class; a key that is
+    // Keys by class, oldest first. Invariant: each of m_waiting stands in the queue of its class; a key that is
     // not in m_waiting with that class means nothing.
     std::array<std::deque<std::string>, recordClasses> m_order;
     std::optional<JournalBatch> m_current;
--- a/include/marigoldlink/Transport/HttpClient.h
+++ b/include/marigoldlink/Transport/HttpClient.h
@@ -42,19 +42,26 @@
 public:
     using Callback = std::function<void(HttpOutcome)>;
 
-    explicit HttpClient(EventLoop&);
+    // Longer than the longest pause between two calls to an endpoint that is in use.
+    static constexpr Duration standardIdleTime { 10000 };
+
+    // Connections to an endpoint that was not called for the idle time are closed, and the endpoint is forgotten.
+    explicit HttpClient(EventLoop&, Duration idleTime = standardIdleTime);
     ~HttpClient();
 
     // Sends the call and calls back exactly once, never before this function returns.
     void send(const Endpoint&, HttpCall, Callback);
 
+    // Endpoints that are not forgotten.
+    std::size_t endpoints() const;
+
     // Bytes of request heads and bodies sent so far, and of answers received.
     std::uint64_t bytesSent() const;
     std::uint64_t bytesReceived() const;
 
 private:
     struct Impl;
-    std::unique_ptr<Impl> m_impl;
+    std::shared_ptr<Impl> m_impl; // the loop knows it weakly
 };
 
 } // namespace marigoldlink
--- a/lib/Transport/HttpClient.cpp
+++ b/lib/Transport/HttpClient.cpp
@@ -17,6 +17,7 @@
 
     constexpr std::size_t s_pooledConnections = 4096;
     constexpr std::uint64_t s_pooledIdleMilliseconds = 5000;
+    constexpr Duration s_sweepPeriod { 1000 };
     constexpr std::uint64_t s_ioTimeoutMilliseconds = 120000;
 
     std::string entityTag(const h2o_header_t* headers, std::size_t count)
@@ -49,8 +50,16 @@
 } // namespace
 
 struct HttpClient::Impl {
+    // The connections to one endpoint.
+    struct Pool {
+        h2o_socketpool_t native {};
+        std::size_t calls { 0 }; // under way
+        TimePoint lastUsed;
+    };
+
     struct Call {
         Impl* owner;
+        Pool* pool { nullptr };
         Callback callback;
         std::string head;
         std::string body;
@@ -65,38 +74,53 @@
         EventLoop::Timer timeout;
     };
 
-    explicit Impl(EventLoop& eventLoop)
+    Impl(EventLoop& eventLoop, Duration idle)
         : loop(eventLoop)
+        , idleTime(idle)
     {
     }
 
     EventLoop& loop;
+    Duration idleTime; // after which the pool of an endpoint is forgotten
     h2o_multithread_queue_t* queue { nullptr };
     h2o_multithread_receiver_t receiver {};
     h2o_timeout_t ioTimeout {};
     h2o_http1client_ctx_t context {};
-    std::map<Endpoint, std::unique_ptr<h2o_socketpool_t>> pools;
+    std::map<Endpoint, std::unique_ptr<Pool>> pools;
     std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls;
     std::uint64_t nextCall { 1 };
     std::uint64_t sent { 0 };
     std::uint64_t received { 0 };
 
-    h2o_socketpool_t* pool(const Endpoint& endpoint)
+    Pool* pool(const Endpoint& endpoint)
     {
         auto& slot = pools[endpoint];
         if (slot)
             return slot.get();
-        slot = std::make_unique<h2o_socketpool_t>();
+        slot = std::make_unique<Pool>();
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_port = htons(endpoint.port);
         ::inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
         h2o_socketpool_init_by_address(
-            slot.get(), reinterpret_cast<sockaddr*>(&address), sizeof(address), 0, s_pooledConnections);
-        h2o_socketpool_set_timeout(slot.get(), loop.native(), s_pooledIdleMilliseconds);
+            &slot->native, reinterpret_cast<sockaddr*>(&address), sizeof(address), 0, s_pooledConnections);
+        h2o_socketpool_set_timeout(&slot->native, loop.native(), s_pooledIdleMilliseconds);
         return slot.get();
     }
 
+    // Each pool has timers that every turn of the loop passes over, and endpoints of workers that are gone never come
+    // back.
+    void forgetIdlePools()
+    {
+        const auto now = loop.now();
+        std::erase_if(pools, [&](const auto& entry) {
+            if (entry.second->calls || now - entry.second->lastUsed < idleTime)
+                return false;
+            h2o_socketpool_dispose(&entry.second->native);
+            return true;
+        });
+    }
+
     void finish(Call* call, HttpOutcome::Kind kind)
     {
         auto found = calls.find(call->id);
@@ -104,6 +128,10 @@
         auto owned = std::move(found->second);
         calls.erase(found);
         loop.cancel(owned->timeout);
+        if (owned->pool) {
+            --owned->pool->calls;
+            owned->pool->lastUsed = loop.now();
+        }
         owned->outcome.kind = kind;
         received += owned->outcome.body.size();
         owned->callback(std::move(owned->outcome));
@@ -191,8 +219,8 @@
     }
 };
 
-HttpClient::HttpClient(EventLoop& loop)
-    : m_impl(std::make_unique<Impl>(loop))
+HttpClient::HttpClient(EventLoop& loop, Duration idleTime)
+    : m_impl(std::make_unique<Impl>(loop, idleTime))
 {
     m_impl->queue = h2o_multithread_create_queue(loop.native());
     h2o_multithread_register_receiver(m_impl->queue, &m_impl->receiver, h2o_hostinfo_getaddr_receiver);
@@ -200,8 +228,14 @@
     m_impl->context.loop = loop.native();
     m_impl->context.getaddr_receiver = &m_impl->receiver;
     m_impl->context.io_timeout = &m_impl->ioTimeout;
+    loop.every(s_sweepPeriod, [weak = std::weak_ptr(m_impl)] {
+        if (const auto impl = weak.lock())
+            impl->forgetIdlePools();
+    });
 }
 
+std::size_t HttpClient::endpoints() const { return m_impl->pools.size(); }
+
 HttpClient::~HttpClient() = default;
 
 std::uint64_t HttpClient::bytesSent() const { return m_impl->sent; }
@@ -231,8 +265,10 @@
         if (found == impl->calls.end())
             return;
         auto* pending = found->second.get();
+        pending->pool = impl->pool(endpoint);
+        ++pending->pool->calls;
         h2o_http1client_connect_with_pool(
-            &pending->client, pending, &impl->context, impl->pool(endpoint), Impl::onConnect);
+            &pending->client, pending, &impl->context, &pending->pool->native, Impl::onConnect);
     });
 }
 
--- a/unittests/Transport/HttpClientTest.cpp
+++ b/unittests/Transport/HttpClientTest.cpp
@@ -105,4 +105,38 @@
     EXPECT_EQ(m_peer.readAll().bytes, 0u);
 }
 
+// Pattern: thousands of workers come and go in a day as instances change their pool, each with an address of its own.
+// Seen on the large deployment: the client kept timers for each address of the day, and every turn passed over them.
+TEST(HttpClientEndpoints, AreForgottenOnceNobodyCallsThem)
+{
+    EventLoop loop;
+    HttpClient client(loop, Duration(500));
+    const auto answerAtOnce = [](const HttpRequest&, const HttpResponderPtr& responder) {
+        responder->send({ 200, "{}", "application/json", {} });
+    };
+    std::vector<std::unique_ptr<HttpServer>> servers;
+    std::vector<Endpoint> endpoints;
+    for (int i = 0; i < 20; ++i) {
+        servers.push_back(std::make_unique<HttpServer>(loop, HttpServer::Limits {}, answerAtOnce));
+        endpoints.push_back(servers.back()->listen({ "127.0.0.1", 0 }));
+    }
+    std::size_t answered = 0;
+    const auto call = [&](const Endpoint& endpoint) {
+        client.send(endpoint, {}, [&answered](const HttpOutcome& outcome) { answered += outcome.isOk(); });
+    };
+    for (const auto& endpoint : endpoints)
+        call(endpoint);
+    loop.runUntil([&] { return answered == endpoints.size(); });
+    EXPECT_EQ(client.endpoints(), endpoints.size());
+    // One of them is called on.
+    loop.every(Duration(50), [&] { call(endpoints.front()); });
+    loop.runUntil([&] { return client.endpoints() == 1; });
+    const auto before = answered;
+    loop.runUntil([&] { return answered >= before + 5; });
+    EXPECT_EQ(client.endpoints(), 1u);
+    call(endpoints.back());
+    loop.runUntil([&] { return client.endpoints() == 2; });
+    loop.runUntil([&] { return client.endpoints() == 1; });
+}
+
 } // namespace marigoldlink
