--- a/benchmarks/Measures.h
+++ b/benchmarks/Measures.h
@@ -27,4 +27,7 @@
 // Processor time of a coordinator per task run, at several fleet sizes.
 void measureCoordinator();
 
+// Processor time of a call to a worker, at several fleet sizes.
+void measureCalls();
+
 } // namespace marigoldlink::benchmarks
--- a/benchmarks/main.cpp
+++ b/benchmarks/main.cpp
@@ -11,7 +11,8 @@
     using namespace marigoldlink::benchmarks;
     const std::map<std::string, std::function<void()>> measures { { "throughput", measureThroughput },
         { "slopes", measureSlopes }, { "shares", measureShares }, { "escrow", measureEscrow },
-        { "planner", measurePlanner }, { "data-center", measureDataCenter }, { "coordinator", measureCoordinator } };
+        { "planner", measurePlanner }, { "data-center", measureDataCenter }, { "coordinator", measureCoordinator },
+        { "calls", measureCalls } };
     const auto found = argc == 2 ? measures.find(argv[1]) : measures.end();
     if (found == measures.end()) {
         std::cerr << "usage: marigold-measure NAME, with NAME one of:";
--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -6,6 +6,7 @@
 #include "marigoldlink/Protocol/JobCodec.h"
 
 #include <chrono>
+#include <ctime>
 #include <memory>
 
 namespace marigoldlink {
@@ -16,6 +17,42 @@
         .count();
 }
 
+// Accumulates the load of a coordinator between two reports.
+class LoadMeter {
+public:
+    using Clock = std::chrono::steady_clock;
+
+    // Adds the time of the call to the given part of the load.
+    template <typename Call> void measure(std::chrono::microseconds CoordinatorLoad::*part, Call call)
+    {
+        const auto begin = Clock::now();
+        call();
+        m_load.*part += std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - begin);
+    }
+
+    void countOrder(const char* kind) { ++m_load.orders[kind]; }
+
+    // Returns the load since the last call.
+    CoordinatorLoad take()
+    {
+        const auto cpu = processTime();
+        m_load.cpu = cpu - std::exchange(m_lastProcessTime, cpu);
+        return std::exchange(m_load, {});
+    }
+
+private:
+    static std::chrono::microseconds processTime()
+    {
+        timespec time {};
+        ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+        return std::chrono::duration_cast<std::chrono::microseconds>(
+            std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    }
+
+    CoordinatorLoad m_load;
+    std::chrono::microseconds m_lastProcessTime { processTime() };
+};
+
 template <FleetPlatform Platform>
 class CoordinatorRunner : public std::enable_shared_from_this<CoordinatorRunner<Platform>> {
 public:
@@ -30,7 +67,9 @@
         , m_instanceCallTimeout(settings.instanceCallTimeout)
         , m_comparesInstanceFences(settings.checksInstanceFences)
         , m_coordinator(std::move(settings), { fence(), ownership.term, ownership.hasPredecessorResigned },
-              Journal(ownership.headRevision), loop.now(), std::move(sinks))
+              Journal(ownership.headRevision), loop.now(), sinks)
+        , m_measure(std::move(sinks.measure))
+        , m_lastLoopIterations(loop.iterations())
         , m_onReply(std::move(onReply))
         , m_onSuperseded(std::move(onSuperseded))
         , m_workers(std::make_shared<StoreFollower<Platform>>(loop, platform, platform.workerPrefix(),
@@ -43,6 +82,7 @@
     {
         m_coordinator.setOperators(operators, m_loop.now());
         m_workers->start();
+        reportLoad();
         load(records::jobPrefix, [this](std::vector<StoredValue> jobs) {
             load(records::progressPrefix, [this, jobs = std::move(jobs)](std::vector<StoredValue> progress) {
                 load(records::wavePrefix, [this, jobs, progress = std::move(progress)](std::vector<StoredValue> waves) {
@@ -61,6 +101,8 @@
         m_workers->stop();
         if (m_timer)
             m_loop.cancel(*m_timer);
+        if (m_reportTimer)
+            m_loop.cancel(*m_reportTimer);
     }
 
     bool isReady() const { return m_isReady && !m_isStopped; }
@@ -187,9 +229,17 @@
         const auto now = m_loop.now();
         // Polls are sent while the records load. All other work waits for the records.
         if (m_coordinator.nextTick() <= now && m_isLoaded)
-            m_coordinator.tick(now, unixMilliseconds());
-        for (auto& order : m_coordinator.takeOrders())
-            std::visit([this](auto& typed) { execute(typed); }, order);
+            m_load.measure(&CoordinatorLoad::decisions, [&] { m_coordinator.tick(now, unixMilliseconds()); });
+        m_load.measure(&CoordinatorLoad::sending, [this] {
+            for (auto& order : m_coordinator.takeOrders()) {
+                std::visit(
+                    [this](auto& typed) {
+                        m_load.countOrder(kindOf(typed));
+                        execute(typed);
+                    },
+                    order);
+            }
+        });
         if (m_coordinator.isSuperseded()) {
             stop();
             m_onSuperseded();
@@ -210,11 +260,42 @@
         return [this, self = this->shared_from_this(), answer](auto&&... values) {
             if (m_isStopped)
                 return;
-            answer(std::forward<decltype(values)>(values)...);
+            m_load.measure(&CoordinatorLoad::decisions, [&] { answer(std::forward<decltype(values)>(values)...); });
             executeOrders();
         };
     }
 
+    // Logs and reports once a second what the coordinator used.
+    void reportLoad()
+    {
+        auto load = m_load.take();
+        load.loopIterations = m_loop.iterations() - std::exchange(m_lastLoopIterations, m_loop.iterations());
+        const auto milliseconds = [](std::chrono::microseconds time) { return std::to_string(time.count() / 1000); };
+        std::string orders;
+        for (const auto& [kind, count] : load.orders)
+            orders += (orders.empty() ? "" : ", ") + std::to_string(count) + ' ' + kind;
+        if (!load.orders.empty())
+            s_log.info("Load of the coordinator.",
+                { { "cpu_ms", milliseconds(load.cpu) }, { "decisions_ms", milliseconds(load.decisions) },
+                    { "sending_ms", milliseconds(load.sending) },
+                    { "loop_iterations", std::to_string(load.loopIterations) }, { "orders", orders } });
+        if (m_measure)
+            m_measure(load);
+        m_reportTimer = m_loop.after(s_reportPeriod, [this, self = this->shared_from_this()] { reportLoad(); });
+    }
+
+    static const char* kindOf(const StartOrder&) { return "starts"; }
+    static const char* kindOf(const StopOrder&) { return "stops"; }
+    static const char* kindOf(const ThrottleOrder&) { return "throttles"; }
+    static const char* kindOf(const PollOrder&) { return "polls"; }
+    static const char* kindOf(const JournalOrder&) { return "writes"; }
+    static const char* kindOf(const ReadHeadOrder&) { return "head reads"; }
+    static const char* kindOf(const ListInstancesOrder&) { return "instance lists"; }
+    static const char* kindOf(const MoveOrder&) { return "moves"; }
+    static const char* kindOf(const MaintainOrder&) { return "maintenance"; }
+    static const char* kindOf(const AdviceOrder&) { return "advice"; }
+    static const char* kindOf(const ReplyOrder&) { return "replies"; }
+
     void execute(const StartOrder& order)
     {
         m_platform.start(order, fence(),
@@ -341,6 +422,7 @@
 
     static constexpr Log s_log { "coordinator" };
     static constexpr Duration s_workerBatchDelay { 25 };
+    static constexpr Duration s_reportPeriod { 1000 };
     static constexpr int s_loadRetryMs = 100;
     static constexpr int s_readinessPollMs = 5;
 
@@ -351,10 +433,14 @@
     bool m_comparesInstanceFences;
     TimePoint m_leaseValidUntil; // set before the first order is executed
     Coordinator m_coordinator;
+    MeasurementSink m_measure;
+    LoadMeter m_load;
+    std::uint64_t m_lastLoopIterations { 0 };
     OnReply m_onReply;
     OnSuperseded m_onSuperseded;
     std::shared_ptr<StoreFollower<Platform>> m_workers;
     std::optional<EventLoop::Timer> m_timer;
+    std::optional<EventLoop::Timer> m_reportTimer;
     bool m_isLoaded { false };
     bool m_isReady { false };
     bool m_isExecutionScheduled { false };
--- a/include/marigoldlink/Entry/Measurements.h
+++ b/include/marigoldlink/Entry/Measurements.h
@@ -3,7 +3,10 @@
 
 #include "marigoldlink/Entry/Orders.h"
 
+#include <chrono>
 #include <functional>
+#include <map>
+#include <string>
 #include <variant>
 
 namespace marigoldlink {
@@ -48,6 +51,16 @@
     std::size_t waiting { 0 }; // active jobs of which no task was ordered yet
 };
 
+// What the coordinator of this process used in the last interval. All but cpu is elapsed time, which includes time
+// during which the process was not scheduled.
+struct CoordinatorLoad {
+    std::chrono::microseconds cpu { 0 }; // processor time of the whole process, transport included
+    std::chrono::microseconds decisions { 0 }; // in the state machine
+    std::chrono::microseconds sending { 0 }; // encoding orders and handing them to the transport
+    std::uint64_t loopIterations { 0 }; // few and long ones show that the event loop never waits
+    std::map<std::string, int> orders; // number of orders by kind
+};
+
 // Outcome of a caller's call.
 enum class CallOutcome {
     Done,
@@ -74,8 +87,8 @@
 };
 using CallSink = std::function<void(const CallReport&)>;
 
-using Measurement
-    = std::variant<JobStarted, JobEnded, RunEnded, StartAnswered, JournalWritten, PoolMeasured, JobsMeasured>;
+using Measurement = std::variant<JobStarted, JobEnded, RunEnded, StartAnswered, JournalWritten, PoolMeasured,
+    JobsMeasured, CoordinatorLoad>;
 using MeasurementSink = std::function<void(const Measurement&)>;
 
 } // namespace marigoldlink
--- a/include/marigoldlink/Transport/EventLoop.h
+++ b/include/marigoldlink/Transport/EventLoop.h
@@ -44,6 +44,9 @@
     void runUntil(const std::function<bool()>& condition);
     void stop() { m_stopped = true; }
 
+    // Number of iterations since the start.
+    std::uint64_t iterations() const { return m_iterations; }
+
     // Calls the callback on the loop when SIGTERM or SIGINT arrives.
     void onTerminate(Callback);
     // Calls the callback on the loop when SIGHUP arrives.
@@ -61,6 +64,7 @@
     st_h2o_evloop_t* m_native;
     std::map<Timer, Callback> m_timers;
     std::uint64_t m_nextTimer { 0 };
+    std::uint64_t m_iterations { 0 };
     std::vector<Callback> m_posted;
     Callback m_onTerminate;
     Callback m_onReload;
--- a/lib/Entry/FleetMetrics.cpp
+++ b/lib/Entry/FleetMetrics.cpp
@@ -39,6 +39,9 @@
     Family<prometheus::Gauge>& instances;
     Family<prometheus::Gauge>& cores;
     Family<prometheus::Gauge>& openJobs;
+    Family<prometheus::Counter>& coordinatorTime;
+    Family<prometheus::Counter>& orders;
+    prometheus::Counter& loopIterations;
     prometheus::Gauge& coordinator;
     prometheus::Counter& unlogged;
     std::set<TeamId> knownTeams;
@@ -65,6 +68,12 @@
         , instances(family(prometheus::BuildGauge(), "marigold_pool_instances", "Instances in a pool."))
         , cores(family(prometheus::BuildGauge(), "marigold_pool_cores", "Cores of a pool: usable, used, asked for."))
         , openJobs(family(prometheus::BuildGauge(), "marigold_jobs", "Jobs that are active, and that wait."))
+        , coordinatorTime(family(prometheus::BuildCounter(), "marigold_coordinator_seconds_total",
+              "Time used while coordinator: processor time of the process, and elapsed time in decisions and sending."))
+        , orders(family(prometheus::BuildCounter(), "marigold_orders_total", "Orders of the coordinator, by kind."))
+        , loopIterations(family(prometheus::BuildCounter(), "marigold_loop_iterations_total",
+              "Iterations of the event loop while coordinator.")
+                             .Add({}))
         , coordinator(
               family(prometheus::BuildGauge(), "marigold_is_coordinator", "1 while this instance is the coordinator.")
                   .Add({}))
@@ -125,6 +134,19 @@
         openJobs.Add({ { "of", "active" } }).Set(static_cast<double>(count.active));
         openJobs.Add({ { "of", "waiting" } }).Set(static_cast<double>(count.waiting));
     }
+
+    void record(const CoordinatorLoad& load)
+    {
+        const auto add = [this](const char* part, std::chrono::microseconds time) {
+            coordinatorTime.Add({ { "part", part } }).Increment(std::chrono::duration<double>(time).count());
+        };
+        add("cpu", load.cpu);
+        add("decisions", load.decisions);
+        add("sending", load.sending);
+        loopIterations.Increment(static_cast<double>(load.loopIterations));
+        for (const auto& [kind, count] : load.orders)
+            orders.Add({ { "kind", kind } }).Increment(count);
+    }
 };
 
 FleetMetrics::FleetMetrics()
--- a/lib/Transport/EventLoop.cpp
+++ b/lib/Transport/EventLoop.cpp
@@ -139,6 +139,7 @@
 
 void EventLoop::runIteration()
 {
+    ++m_iterations;
     auto wait = s_maxWait;
     // Writes issued by callbacks outside of the native loop complete in its next iteration, which must not block.
     if (std::exchange(m_ranCallbacks, false) || !m_posted.empty())
--- a/unittests/Entry/MetricsTest.cpp
+++ b/unittests/Entry/MetricsTest.cpp
@@ -49,6 +49,21 @@
         EXPECT_THAT(metrics.text(), HasSubstr("marigold_is_coordinator 0"));
     }
 
+    TEST(Metrics, CoordinatorLoadAddsUp)
+    {
+        FleetMetrics metrics;
+        CoordinatorLoad load;
+        load.decisions = std::chrono::microseconds(1500000);
+        load.orders["polls"] = 3;
+        load.loopIterations = 40;
+        metrics.record(load);
+        metrics.record(load);
+        const auto text = metrics.text();
+        EXPECT_THAT(text, HasSubstr(R"(marigold_coordinator_seconds_total{part="decisions"} 3)"));
+        EXPECT_THAT(text, HasSubstr(R"(marigold_orders_total{kind="polls"} 6)"));
+        EXPECT_THAT(text, HasSubstr("marigold_loop_iterations_total 80"));
+    }
+
     TEST(Metrics, ACoordinatorTellsOfStartsEndsAndWrites)
     {
         FleetMetrics metrics;
