Bound the rate of polls while ends wait for the store

Cause: a worker repeats ends that are not acknowledged, so its poll answers at once, and was repeated every 30 to 250 ms for each worker by itself. With a thousand workers that is 4,500 to 5,500 polls a second in the outage and 2,500 after it (1,200 to 2,000 while calm). The class is a retry with a period for each item and no bound for all of them.

Now these polls share a rate of 1,000 a second; at most they come once a second, as long polls do. Once the ends are stored, the worker is polled at once, as before. Fleets with few such workers see the delays of before.

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -165,6 +165,9 @@
     // Schedules the next poll of the worker. A poll that is in flight overrides it when it ends.
     void schedulePoll(Worker&, TimePoint);
     void sendPoll(Worker&, TimePoint now);
+    // Delay of the next poll of a worker whose ends are not stored yet. Such polls share a rate, so that their number
+    // does not grow when the store is slow.
+    Duration immediatePollDelay(Duration minimum) const;
     void removeMissingWorkers(TimePoint now);
     void removeWorker(const WorkerId&);
     void expireLeases(TimePoint now);
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -20,6 +20,8 @@
     constexpr Duration s_maxOrderDelay { 15000 };
     // Interval of polls while ends cannot be acknowledged because the store has not written them yet.
     constexpr Duration s_unstoredEndsDelay { 250 };
+    // Upper limit of the rate of polls of all workers with such ends, which answer at once.
+    constexpr std::size_t s_maxImmediatePollsPerSecond = 1000;
     constexpr Duration s_missingCheckPeriod { 200 };
     constexpr Duration s_expiryCheckPeriod { 20 };
     // A worker that left the registry is removed after this time without an answer.
@@ -215,9 +217,16 @@
     throttleBestEffortRuns(*worker, now);
     advanceAcknowledged(*worker);
     if (worker->lastEndSeen > endsBefore)
-        schedulePoll(*worker, now + s_endBatchDelay);
+        schedulePoll(*worker, now + immediatePollDelay(s_endBatchDelay));
     else
-        schedulePoll(*worker, worker->pendingEnds.empty() ? now : now + s_unstoredEndsDelay);
+        schedulePoll(*worker, worker->pendingEnds.empty() ? now : now + immediatePollDelay(s_unstoredEndsDelay));
+}
+
+Duration Coordinator::immediatePollDelay(Duration minimum) const
+{
+    // At most the interval of long polls, which extends the leases in time.
+    const Duration shared(m_withPendingEnds.size() * 1000 / s_maxImmediatePollsPerSecond);
+    return std::clamp(shared, minimum, s_busyPollWait);
 }
 
 void Coordinator::processEnds(Worker& worker, const std::vector<ListedEnd>& ends, TimePoint now)
--- /dev/null
+++ b/unittests/Entry/PollLoadTest.cpp
@@ -0,0 +1,110 @@
+// Tests of the number of polls while ends wait for the store.
+#include "CoordinatorHarness.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldlink {
+namespace {
+
+    constexpr int s_workers = 1200;
+    constexpr Duration s_busyPollInterval { 1000 }; // long-poll time of a worker with runs
+    constexpr Duration s_lease { 3000 };
+
+    std::string workerId(int index) { return "w" + std::to_string(index); }
+
+    // A fleet in which each worker has run one task of a job and lists its end.
+    class PollLoad : public testing::Test {
+    protected:
+        PollLoad()
+        {
+            std::vector<std::string> ids;
+            for (int i = 0; i < s_workers; ++i)
+                ids.push_back(workerId(i));
+            for (const auto& id : ids)
+                m_fleet.addWorker(id, 1000);
+            m_fleet.run(Duration(5));
+            m_fleet.answerPolls();
+            m_fleet.coordinator.finishRestore(m_fleet.now);
+            storeAll();
+            m_fleet.coordinator.submit(CallToken(1), CoordinatorHarness::job("a", s_workers), m_fleet.now);
+            storeAll();
+            m_runs = m_fleet.starts;
+            m_fleet.answerStarts();
+        }
+
+        // Stores all queued records.
+        void storeAll()
+        {
+            do {
+                m_fleet.answerJournal();
+                m_fleet.run(Duration(60));
+            } while (m_fleet.batch);
+        }
+
+        // Answers the pending polls with all ends that are not acknowledged. Returns the number of polls.
+        std::size_t answerPollsWithEnds()
+        {
+            std::map<WorkerId, const StartOrder*> runOf;
+            for (const auto& start : m_runs)
+                runOf[start.worker.id] = &start;
+            const auto polls = std::exchange(m_fleet.polls, {});
+            for (const auto& poll : polls) {
+                m_lastPoll[poll.worker.id] = m_fleet.now;
+                if (poll.acknowledged == 1)
+                    m_acknowledged.insert(poll.worker.id);
+                PollAnswer answer;
+                answer.status = PollAnswer::Status::Answered;
+                answer.startedUnixMs = poll.worker.startedUnixMs;
+                answer.clockMs = m_fleet.now.time_since_epoch().count();
+                const auto run = runOf.find(poll.worker.id);
+                if (run != runOf.end() && poll.acknowledged < 1)
+                    answer.ended.push_back({ 1, run->second->task, run->second->run, RunEnd::Done, {} });
+                m_fleet.coordinator.pollAnswered(poll.worker, answer, m_fleet.now);
+            }
+            return polls.size();
+        }
+
+        CoordinatorHarness m_fleet;
+        std::vector<StartOrder> m_runs;
+        std::map<WorkerId, TimePoint> m_lastPoll;
+        std::set<WorkerId> m_acknowledged; // workers whose end was acknowledged
+    };
+
+    // Guards against a feedback between the store and the polls. Workers repeat ends that are not acknowledged, so
+    // their polls cannot wait. While the store was slow or unavailable, a thousand workers were polled four times a
+    // second each. That took the processor time that the journal needed, which then fell behind further.
+    TEST_F(PollLoad, PollsDoNotIncreaseWhileEndsWaitForTheStore)
+    {
+        ASSERT_EQ(m_runs.size(), static_cast<std::size_t>(s_workers));
+        answerPollsWithEnds(); // the polls that were waiting
+        constexpr int seconds = 4;
+        std::size_t polls = 0;
+        for (int i = 0; i < seconds * 1000; ++i) {
+            m_fleet.run(Duration(1));
+            polls += answerPollsWithEnds();
+        }
+        EXPECT_LE(polls, static_cast<std::size_t>(seconds * s_workers)) << "more than one a second for each worker";
+        for (const auto& [id, at] : m_lastPoll)
+            EXPECT_LT(m_fleet.now - at, s_lease / 2) << "the lease of " << id.value() << " is not extended in time";
+    }
+
+    // Ends are acknowledged as soon as they are stored, whatever the delay of the next poll.
+    TEST_F(PollLoad, StoredEndsAreAcknowledgedAtOnce)
+    {
+        const auto runFor = [this](Duration time) {
+            for (Duration passed { 0 }; passed < time; ++passed) {
+                m_fleet.run(Duration(1));
+                answerPollsWithEnds();
+            }
+        };
+        answerPollsWithEnds();
+        runFor(Duration(60));
+        ASSERT_TRUE(m_fleet.batch) << "the write of the ends is in flight";
+        EXPECT_EQ(m_acknowledged.size(), 0u);
+        m_fleet.answerJournal();
+        runFor(Duration(5));
+        EXPECT_EQ(m_acknowledged.size(), static_cast<std::size_t>(s_workers));
+    }
+
+} // namespace
+} // namespace marigoldlink
