Run posted callbacks of posted callbacks in the same iteration

Cause: an order passes through two posted callbacks, the coordinator's run and the HTTP client's send, and the second waited for the next iteration of the loop. The class is a serial resource that advances once in several turns of a loop whose turns grow with the load.

EventLoop.CallbacksPostedByCallbacksRunInTheSameIteration failed before: the third callback ran two iterations after the first.

Posted callbacks now run until none is left, up to a depth of 8, after which sockets and timers come first.

--- a/include/marigoldlink/Transport/EventLoop.h
+++ b/include/marigoldlink/Transport/EventLoop.h
@@ -32,7 +32,8 @@
     // Cancels a timer. Has no effect if the timer has already run.
     void cancel(const Timer& timer) { m_timers.erase(timer); }
 
-    // Runs the callback at the end of the current iteration of the loop.
+    // Runs the callback at the end of the current iteration of the loop. So do callbacks that it posts, up to a limited
+    // depth.
     void post(Callback callback) { m_posted.push_back(std::move(callback)); }
 
     // Runs the callback repeatedly until the loop ends. The period is the time from the end of one run to the next run.
--- a/lib/Transport/EventLoop.cpp
+++ b/lib/Transport/EventLoop.cpp
@@ -16,6 +16,9 @@
 
     // Upper bound for one wait. Signals, sockets and timers end it earlier.
     constexpr Duration s_maxWait { 60000 };
+    // Posted callbacks that post further ones run in the same iteration up to this depth. The rest waits for the next
+    // iteration, so that sockets and timers are served.
+    constexpr int s_maxPostedDepth = 8;
 
     volatile std::sig_atomic_t s_terminateRequested = 0;
     volatile std::sig_atomic_t s_reloadRequested = 0;
@@ -131,10 +134,12 @@
 
 void EventLoop::runPosted()
 {
-    const auto posted = std::exchange(m_posted, {});
-    m_ranCallbacks |= !posted.empty();
-    for (const auto& callback : posted)
-        callback();
+    for (int depth = 0; depth < s_maxPostedDepth && !m_posted.empty(); ++depth) {
+        const auto posted = std::exchange(m_posted, {});
+        m_ranCallbacks = true;
+        for (const auto& callback : posted)
+            callback();
+    }
 }
 
 void EventLoop::runIteration()
