Refuse a submission that cannot be stored in its caller's time

Callers saw 504 (unknown) on attempts with little time left, and waited 700 ms for each refusal before.

Cause: the coordinator refused a submission only 700 ms after its arrival, whatever was queued before it and however little time its caller had left. The class is work that is kept past the point where its end is known.

Now the call carries the time in which the sender needs the reply. The coordinator refuses at once if the queued records and the time of the recent writes, or the age of the unanswered one, show that the record cannot be stored in that time, and withdraws one that was not sent early enough. What may have been sent stays, as before.

On the code before, Submissions.AreRefusedBeforeTheirCaller- StopsWaiting, AreRefusedAtOnceWhileTheStoreDoesNotAnswer and AreRefusedAtOnceBehindALongQueue failed (no reply).

--- a/include/marigoldlink/Coordination/Journal.h
+++ b/include/marigoldlink/Coordination/Journal.h
@@ -80,6 +80,10 @@
     bool isSuperseded() const { return m_isSuperseded; }
     bool isWriteInFlight() const { return m_isWriteInFlight; }
     std::size_t waiting() const { return m_queued.size() + (m_batch ? m_batch->puts.size() : 0); }
+    // True while a batch was assembled and is not known to be stored.
+    bool hasUnstoredBatch() const { return m_batch.has_value(); }
+    // Number of batches, the current one included, until an urgent record that is queued now is stored.
+    std::size_t batchesUntilStored() const;
 
 private:
     struct QueuedRecord {
@@ -94,6 +98,7 @@
     Revision m_head;
     std::uint64_t m_number;
     std::map<std::string, QueuedRecord> m_queued;
+    std::size_t m_queuedUrgent { 0 }; // number of urgent records in m_queued
     // Keys by class, oldest first. Invariant: each key of m_queued is in the queue of its class. Keys that are not in
     // m_queued with that class are stale and skipped.
     std::array<std::deque<std::string>, recordClasses> m_keysByClass;
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -66,7 +66,9 @@
     void instancesListed(std::vector<FleetInstance>, TimePoint now);
 
     // Callers' calls.
-    void submit(CallToken, JobSpec, TimePoint now);
+    // Replies Refused if the job's record cannot be stored within the given time, in which the caller needs the reply.
+    // nullopt: no limit by the caller.
+    void submit(CallToken, JobSpec, TimePoint now, std::optional<Duration> wait = std::nullopt);
     void cancel(CallToken, const JobId&, TimePoint now);
     Reply jobStatus(const JobId&) const;
     Reply waiting(const QueueId&) const;
@@ -122,6 +124,8 @@
     void removeOldJobs(TimePoint now);
     // Refuses submissions whose record could not be sent to the store in time, so that their callers can retry.
     void refuseUnsent(TimePoint now);
+    // Time until a record that is queued now is stored, judged by the recent writes.
+    Duration expectedStoreTime(TimePoint now) const;
 
     // Runs.
     bool isUsable(const Worker&, TimePoint now) const;
@@ -228,10 +232,12 @@
     std::map<std::string, RecordVersion> m_queuedVersions; // by record key
     std::map<std::string, RecordVersion> m_batchVersions; // records of the batch in flight, by key
     TimePoint m_batchSentAt;
+    TimePoint m_batchFirstSentAt;
+    Duration m_writeTime { 0 }; // moving average over the stored batches
     std::uint64_t m_batchNumber { 0 }; // of the last batch that was sent
     std::set<WorkerId> m_workersToRecord; // workers whose record is not yet queued in the journal
     std::set<JobId> m_jobsToQueue; // accepted; record not yet queued in the journal
-    std::map<JobId, TimePoint> m_unstoredJobs; // accepted; record not yet stored; with the time of acceptance
+    std::map<JobId, TimePoint> m_unstoredJobs; // accepted; record not yet stored; refused if not sent by this time
     std::map<std::pair<WorkerId, TaskKey>, TimePoint> m_stopRetries; // when to resend the stop order
     std::map<std::pair<WorkerId, TaskKey>, TimePoint> m_confirmedAt; // since when the worker is known to hold the run
     struct UnconfirmedStart {
--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -310,6 +310,7 @@
         if (found == m_calls.end() || found->second.isInFlight)
             return;
         auto& pending = found->second;
+        pending.request.wait = std::min(pending.timer.first - m_loop.now(), m_settings.peerTimeout);
         if (m_runner) {
             if (!m_runner->isReady())
                 return;
@@ -423,7 +424,7 @@
             const auto token = CallToken(m_nextToken++);
             m_tokens.emplace(token, std::move(served));
             if (request.kind == FleetCallRequest::Kind::Submit)
-                coordinator.submit(token, request.job, now);
+                coordinator.submit(token, request.job, now, request.wait);
             else
                 coordinator.cancel(token, request.job.id, now);
             m_runner->executeOrders();
--- a/include/marigoldlink/Protocol/Generated/Fleet_types.h
+++ b/include/marigoldlink/Protocol/Generated/Fleet_types.h
@@ -32,11 +32,12 @@
 class FleetState;
 
 typedef struct _FleetCall__isset {
-  _FleetCall__isset() : kind(false), job(false), queue(false), record(false) {}
+  _FleetCall__isset() : kind(false), job(false), queue(false), record(false), waitMs(false) {}
   bool kind :1;
   bool job :1;
   bool queue :1;
   bool record :1;
+  bool waitMs :1;
 } _FleetCall__isset;
 
 class FleetCall : public virtual ::apache::thrift::TBase {
@@ -48,7 +49,8 @@
             : kind(0),
               job(),
               queue(),
-              record() {
+              record(),
+              waitMs(0) {
   }
 
   virtual ~FleetCall() noexcept;
@@ -56,6 +58,7 @@
   std::string job;
   std::string queue;
   std::string record;
+  int64_t waitMs;
 
   _FleetCall__isset __isset;
 
@@ -67,6 +70,8 @@
 
   void __set_record(const std::string& val);
 
+  void __set_waitMs(const int64_t val);
+
   bool operator == (const FleetCall & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -77,6 +82,8 @@
       return false;
     if (!(record == rhs.record))
       return false;
+    if (!(waitMs == rhs.waitMs))
+      return false;
     return true;
   }
   bool operator != (const FleetCall &rhs) const {
--- a/lib/Coordination/Journal.cpp
+++ b/lib/Coordination/Journal.cpp
@@ -36,6 +36,7 @@
     if (!isNew && queued.recordClass <= record.recordClass)
         return;
     queued.recordClass = record.recordClass;
+    m_queuedUrgent += record.recordClass == RecordClass::Urgent;
     m_keysByClass[static_cast<std::size_t>(record.recordClass)].push_back(key);
 }
 
@@ -48,6 +49,7 @@
         if (found == m_queued.end() || found->second.recordClass != recordClass)
             continue;
         auto record = m_queued.extract(found);
+        m_queuedUrgent -= recordClass == RecordClass::Urgent;
         if (record.mapped().value)
             m_batch->puts.emplace_back(record.key(), std::move(*record.mapped().value));
         else
@@ -67,10 +69,16 @@
         if (m_batch->puts.empty() && m_batch->removals.empty())
             m_batch.reset();
     }
-    m_queued.erase(key);
+    if (const auto queued = m_queued.extract(key))
+        m_queuedUrgent -= queued.mapped().recordClass == RecordClass::Urgent;
     return true;
 }
 
+std::size_t Journal::batchesUntilStored() const
+{
+    return (m_batch ? 1 : 0) + m_queuedUrgent / urgentRecordsPerBatch + 1;
+}
+
 std::optional<JournalBatch> Journal::next()
 {
     if (m_isWriteInFlight || m_needsHeadRead || m_isSuperseded)
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -20,6 +20,10 @@
     // NodeSettings::peerTimeout: once the forwarding entry instance times out, it cannot tell whether the job was
     // accepted.
     constexpr Duration s_submissionTimeout { 700 };
+    // Time for the reply to reach the caller through another entry instance.
+    constexpr Duration s_replyMargin { 50 };
+    // Weight of the past in the moving average of the time of a write.
+    constexpr int s_writeTimeWeight = 8;
     // Retry-after sent with such a refusal; outages of the store last seconds.
     constexpr Duration s_storeRetryAfter { 1000 };
     // How long an instance is kept free of new tasks before maintenance ends the tasks on it. Most short tasks end
@@ -152,7 +156,7 @@
     m_nextTick = now;
 }
 
-void Coordinator::submit(CallToken token, JobSpec spec, TimePoint now)
+void Coordinator::submit(CallToken token, JobSpec spec, TimePoint now, std::optional<Duration> wait)
 {
     const auto id = spec.id;
     if (const auto* known = m_jobs.find(id)) {
@@ -162,11 +166,21 @@
             m_replies[id].push_back({ token, 1, { Reply::Kind::Accepted, {}, 0, {} } });
         return;
     }
+    const auto limit = wait ? std::min(s_submissionTimeout, *wait - s_replyMargin) : s_submissionTimeout;
+    const auto expected = expectedStoreTime(now);
+    if (expected > limit) {
+        log("job", id.value(),
+            "refused: record would be stored in " + std::to_string(expected.count()) + " ms, limit "
+                + std::to_string(limit.count()) + " ms");
+        m_orders.emplace_back(ReplyOrder { token, { Reply::Kind::Refused, {}, 0, s_storeRetryAfter } });
+        return;
+    }
     const auto queue = queueOf(spec);
     auto& job = m_jobs.accept(std::move(spec), queue, now);
     ++job.version;
     m_jobsToQueue.insert(id);
-    m_unstoredJobs[id] = now;
+    // The record must be sent early enough for its write to end within the limit.
+    m_unstoredJobs[id] = now + limit - (wait ? std::min(m_writeTime, limit) : Duration(0));
     if (!job.spec.schedule.isTimed())
         m_arrivals.try_emplace(job.queue.service, s_arrivalDecayTime)
             .first->second.add(now, estimateWork(m_settings.moveTime + s_joinDelay, job.spec));
@@ -276,6 +290,8 @@
             m_batchVersions.insert_or_assign(key, recordVersion.mapped());
     }
     m_batchSentAt = now;
+    if (isNew)
+        m_batchFirstSentAt = now;
     m_orders.emplace_back(JournalOrder { std::move(*batch) });
 }
 
@@ -289,6 +305,7 @@
     if (m_journal.needsHeadRead())
         m_orders.emplace_back(ReadHeadOrder {});
     if (stored) {
+        m_writeTime = (m_writeTime * (s_writeTimeWeight - 1) + (now - m_batchSentAt)) / s_writeTimeWeight;
         batchStored(*stored, now);
         m_nextTick = std::min(m_nextTick, std::max(now, m_nextFlush));
         sendJournal(now);
@@ -359,6 +376,13 @@
         m_replies.erase(found);
 }
 
+Duration Coordinator::expectedStoreTime(TimePoint now) const
+{
+    // The age of an unstored batch shows that the store has become slower, or does not answer.
+    const auto age = m_journal.hasUnstoredBatch() ? now - m_batchFirstSentAt : Duration(0);
+    return std::max(m_writeTime, age) * static_cast<std::int64_t>(m_journal.batchesUntilStored());
+}
+
 void Coordinator::refuseUnsent(TimePoint now)
 {
     std::vector<JobId> late;
@@ -366,8 +390,8 @@
         const auto* job = m_jobs.find(entry.first);
         if (!job || job->storedVersion)
             return true;
-        if (now < entry.second + s_submissionTimeout)
-            m_nextTick = std::min(m_nextTick, entry.second + s_submissionTimeout);
+        if (now < entry.second)
+            m_nextTick = std::min(m_nextTick, entry.second);
         else
             late.push_back(entry.first);
         return false;
--- a/lib/Protocol/Generated/Fleet_types.cpp
+++ b/lib/Protocol/Generated/Fleet_types.cpp
@@ -33,6 +33,10 @@
 void FleetCall::__set_record(const std::string& val) {
   this->record = val;
 }
+
+void FleetCall::__set_waitMs(const int64_t val) {
+  this->waitMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetCall& obj)
 {
   obj.printTo(out);
@@ -93,6 +97,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waitMs);
+          this->__isset.waitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -126,6 +138,10 @@
   xfer += oprot->writeString(this->record);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("waitMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->waitMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -137,6 +153,7 @@
   swap(a.job, b.job);
   swap(a.queue, b.queue);
   swap(a.record, b.record);
+  swap(a.waitMs, b.waitMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -145,6 +162,7 @@
   job = other0.job;
   queue = other0.queue;
   record = other0.record;
+  waitMs = other0.waitMs;
   __isset = other0.__isset;
 }
 FleetCall& FleetCall::operator=(const FleetCall& other1) {
@@ -152,6 +170,7 @@
   job = other1.job;
   queue = other1.queue;
   record = other1.record;
+  waitMs = other1.waitMs;
   __isset = other1.__isset;
   return *this;
 }
@@ -162,6 +181,7 @@
   out << ", " << "job=" << to_string(job);
   out << ", " << "queue=" << to_string(queue);
   out << ", " << "record=" << to_string(record);
+  out << ", " << "waitMs=" << to_string(waitMs);
   out << ")";
 }
 
--- a/unittests/Entry/SubmissionsTest.cpp
+++ b/unittests/Entry/SubmissionsTest.cpp
@@ -49,5 +49,69 @@
         EXPECT_FALSE(fleet.batch && !fleet.batch->puts.empty());
     }
 
+    // Guards against submissions that end as unknown shortly before the caller's deadline. A caller that had been
+    // refused before came back with little time left; its record waited behind hundreds of others, and the entry
+    // instance gave up while the coordinator still held the submission. Such a caller must not try again.
+    TEST(Submissions, AreRefusedBeforeTheirCallerStopsWaiting)
+    {
+        CoordinatorHarness fleet;
+        fleet.begin({ "w1" });
+        fleet.coordinator.submit(CallToken(1), CoordinatorHarness::job("sent"), fleet.now);
+        fleet.run(Duration(20));
+        ASSERT_TRUE(fleet.batch) << "its write is in flight";
+        constexpr Duration wait { 150 };
+        const auto since = fleet.now;
+        fleet.coordinator.submit(CallToken(2), CoordinatorHarness::job("queued"), fleet.now, wait);
+        while (fleet.replies.empty() && fleet.now < since + wait)
+            fleet.run(Duration(1));
+        ASSERT_THAT(fleet.replies, SizeIs(1));
+        EXPECT_EQ(fleet.replies[0].token, CallToken(2));
+        EXPECT_EQ(fleet.replies[0].reply.kind, Reply::Kind::Refused);
+    }
+
+    // Guards against submissions that wait although it is known that their record cannot be stored in time. During an
+    // outage of the store each attempt waited 700 ms of the caller's three seconds.
+    TEST(Submissions, AreRefusedAtOnceWhileTheStoreDoesNotAnswer)
+    {
+        CoordinatorHarness fleet;
+        fleet.begin({ "w1" });
+        fleet.coordinator.submit(CallToken(1), CoordinatorHarness::job("sent"), fleet.now);
+        fleet.run(Duration(800));
+        ASSERT_TRUE(fleet.batch) << "its write is in flight";
+        fleet.coordinator.submit(CallToken(2), CoordinatorHarness::job("late"), fleet.now);
+        fleet.run(Duration(1));
+        ASSERT_THAT(fleet.replies, SizeIs(1));
+        EXPECT_EQ(fleet.replies[0].token, CallToken(2));
+        EXPECT_EQ(fleet.replies[0].reply.kind, Reply::Kind::Refused);
+        // It is accepted as soon as the store answers again.
+        fleet.answerJournal();
+        fleet.replies.clear();
+        fleet.accept(CoordinatorHarness::job("late"));
+        ASSERT_THAT(fleet.replies, SizeIs(1));
+        EXPECT_EQ(fleet.replies[0].reply.kind, Reply::Kind::Accepted);
+    }
+
+    // Guards against the same behind hundreds of queued records, which a slow store does not write in time.
+    TEST(Submissions, AreRefusedAtOnceBehindALongQueue)
+    {
+        constexpr int jobs = 600;
+        constexpr Duration writeTime { 60 };
+        CoordinatorHarness fleet;
+        fleet.begin({ "w1" });
+        for (int i = 0; i < jobs; ++i)
+            fleet.coordinator.submit(CallToken(i + 1), CoordinatorHarness::job("a" + std::to_string(i)), fleet.now);
+        for (int i = 0; i < 5; ++i) {
+            fleet.run(writeTime);
+            fleet.answerJournal();
+        }
+        fleet.run(Duration(1));
+        const auto before = fleet.replies.size();
+        fleet.coordinator.submit(CallToken(jobs + 1), CoordinatorHarness::job("late"), fleet.now);
+        fleet.run(Duration(1));
+        ASSERT_THAT(fleet.replies, SizeIs(before + 1));
+        EXPECT_EQ(fleet.replies.back().token, CallToken(jobs + 1));
+        EXPECT_EQ(fleet.replies.back().reply.kind, Reply::Kind::Refused);
+    }
+
 } // namespace
 } // namespace marigoldlink
