--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -230,16 +230,7 @@
         // Polls are sent while the records load. All other work waits for the records.
         if (m_coordinator.nextTick() <= now && m_isLoaded)
             m_load.measure(&CoordinatorLoad::decisions, [&] { m_coordinator.tick(now, unixMilliseconds()); });
-        m_load.measure(&CoordinatorLoad::sending, [this] {
-            for (auto& order : m_coordinator.takeOrders()) {
-                std::visit(
-                    [this](auto& typed) {
-                        m_load.countOrder(kindOf(typed));
-                        execute(typed);
-                    },
-                    order);
-            }
-        });
+        sendOrders();
         if (m_coordinator.isSuperseded()) {
             stop();
             m_onSuperseded();
@@ -254,6 +245,20 @@
         });
     }
 
+    void sendOrders()
+    {
+        m_load.measure(&CoordinatorLoad::sending, [this] {
+            for (auto& order : m_coordinator.takeOrders()) {
+                std::visit(
+                    [this](auto& typed) {
+                        m_load.countOrder(kindOf(typed));
+                        execute(typed);
+                    },
+                    order);
+            }
+        });
+    }
+
     // Wraps a callback that passes an answer to the coordinator; it is ignored after stop().
     template <typename Answer> auto answered(Answer answer)
     {
@@ -331,9 +336,15 @@
         for (const auto& [key, value] : order.batch.puts)
             call.puts.push_back({ key, value, StoreLease::None });
         call.removals = order.batch.removals;
-        m_platform.write(call, answered([this](const StoreWriteResult& result) {
+        auto callback = answered([this](const StoreWriteResult& result) {
             m_coordinator.journalAnswered(journalAnswer(result.status), result.revision, m_loop.now());
-        }));
+        });
+        // The next write is sent now and not at the end of the iteration, since only one is in flight.
+        m_platform.write(call, [this, callback](const StoreWriteResult& result) mutable {
+            callback(result);
+            if (!m_isStopped && !m_coordinator.isSuperseded())
+                sendOrders();
+        });
     }
 
     static JournalAnswer journalAnswer(StoreWriteStatus status)
--- a/lib/Transport/HttpClient.cpp
+++ b/lib/Transport/HttpClient.cpp
@@ -70,6 +70,7 @@
         // Invariant: true once the request was handed to the socket.
         bool sent { false };
         bool discardUnsentOnExit { false };
+        bool isConnecting { false }; // true during the call of connect()
         TimePoint deadline;
         std::uint64_t id { 0 };
         EventLoop::Timer timeout;
@@ -138,6 +139,28 @@
         owned->callback(std::move(owned->outcome));
     }
 
+    void connect(Call* call, const Endpoint& endpoint)
+    {
+        call->pool = pool(endpoint);
+        ++call->pool->calls;
+        call->isConnecting = true;
+        h2o_http1client_connect_with_pool(&call->client, call, &context, &call->pool->native, onConnect);
+        call->isConnecting = false;
+    }
+
+    // Does not run the callback before send() returns.
+    void connectFailed(Call* call)
+    {
+        if (!call->isConnecting) {
+            finish(call, HttpResult::Kind::NotSent);
+            return;
+        }
+        loop.post([this, id = call->id] {
+            if (const auto found = calls.find(id); found != calls.end())
+                finish(found->second.get(), HttpResult::Kind::NotSent);
+        });
+    }
+
     static h2o_http1client_head_cb onConnect(
         h2o_http1client_t* client, const char* error, h2o_iovec_t** buffers, std::size_t* count, int* isHead)
     {
@@ -145,7 +168,7 @@
         // After a pause of the process the connection may become ready before the timeout timer runs.
         if (error || call->owner->loop.now() >= call->deadline) {
             call->client = nullptr;
-            call->owner->finish(call, HttpResult::Kind::NotSent);
+            call->owner->connectFailed(call);
             return nullptr;
         }
         if (call->discardUnsentOnExit)
@@ -262,17 +285,7 @@
     m_impl->calls.emplace(rawCall->id, std::move(call));
     rawCall->timeout
         = m_impl->loop.after(request.timeout, [impl = m_impl.get(), id = rawCall->id] { impl->expire(id); });
-    // Connect in a posted callback, since no callback may run before this function returns.
-    m_impl->loop.post([impl = m_impl.get(), id = rawCall->id, endpoint] {
-        auto found = impl->calls.find(id);
-        if (found == impl->calls.end())
-            return;
-        auto* pending = found->second.get();
-        pending->pool = impl->pool(endpoint);
-        ++pending->pool->calls;
-        h2o_http1client_connect_with_pool(
-            &pending->client, pending, &impl->context, &pending->pool->native, Impl::onConnect);
-    });
+    m_impl->connect(rawCall, endpoint);
 }
 
 } // namespace marigoldlink
--- a/unittests/Entry/ScriptedPlatform.h
+++ b/unittests/Entry/ScriptedPlatform.h
@@ -1,4 +1,4 @@
-// Stub platform. The test answers reads and watches of the key-value service; all other calls remain unanswered.
+// Stub platform. The test answers calls of the key-value service; all other calls remain unanswered.
 #pragma once
 
 #include "marigoldlink/Entry/FleetPlatform.h"
@@ -15,6 +15,11 @@
         RangeCallback callback;
     };
     std::deque<Read> reads; // unanswered, oldest first
+    struct Write {
+        StoreWrite write;
+        StoreWriteCallback callback;
+    };
+    std::deque<Write> writes; // unanswered, oldest first
 
     // Answers the oldest read of the prefix. Returns false if there is none.
     bool answer(const std::string& prefix, StoreStatus status, Revision revision, std::vector<StoredValue> values = {})
@@ -37,7 +42,10 @@
     {
         reads.push_back({ prefix, after, std::move(callback) });
     }
-    void write(const StoreWrite&, StoreWriteCallback) { }
+    void write(const StoreWrite& write, StoreWriteCallback callback)
+    {
+        writes.push_back({ write, std::move(callback) });
+    }
     void openLease(Duration, StoreLeaseCallback) { }
     void renewLease(StoreLease, StoreLeaseCallback) { }
     void endLease(StoreLease) { }
--- a/unittests/Transport/HttpClientTest.cpp
+++ b/unittests/Transport/HttpClientTest.cpp
@@ -73,8 +73,7 @@
         {
             std::optional<HttpResult> result;
             m_client.send(m_peer.endpoint(), std::move(call), [&result](HttpResult ended) { result = ended; });
-            if (m_pause > Duration(0))
-                m_loop.post([this] { std::this_thread::sleep_for(m_pause); });
+            std::this_thread::sleep_for(m_pause);
             m_loop.runUntil([&result] { return result.has_value(); });
             return result->kind;
         }
