--- a/lib/Transport/HttpClient.cpp
+++ b/lib/Transport/HttpClient.cpp
@@ -285,7 +285,14 @@
     m_impl->calls.emplace(rawCall->id, std::move(call));
     rawCall->timeout
         = m_impl->loop.after(request.timeout, [impl = m_impl.get(), id = rawCall->id] { impl->expire(id); });
-    m_impl->connect(rawCall, endpoint);
+    if (request.sendAtOnce) {
+        m_impl->connect(rawCall, endpoint);
+        return;
+    }
+    m_impl->loop.post([impl = m_impl.get(), id = rawCall->id, endpoint] {
+        if (const auto found = impl->calls.find(id); found != impl->calls.end())
+            impl->connect(found->second.get(), endpoint);
+    });
 }
 
 } // namespace marigoldlink
--- a/unittests/Transport/HttpClientTest.cpp
+++ b/unittests/Transport/HttpClientTest.cpp
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -34,6 +35,13 @@
 
         const Endpoint& endpoint() const { return m_endpoint; }
 
+        // Whether a connection arrives within the given time.
+        bool isConnectedWithin(Duration time) const
+        {
+            pollfd listener { m_listener, POLLIN, 0 };
+            return ::poll(&listener, 1, static_cast<int>(time.count())) == 1;
+        }
+
         struct Received {
             std::size_t bytes { 0 };
             bool isReset { false };
@@ -73,7 +81,8 @@
         {
             std::optional<HttpResult> result;
             m_client.send(m_peer.endpoint(), std::move(call), [&result](HttpResult ended) { result = ended; });
-            std::this_thread::sleep_for(m_pause);
+            if (m_pause > Duration(0))
+                m_loop.post([this] { std::this_thread::sleep_for(m_pause); });
             m_loop.runUntil([&result] { return result.has_value(); });
             return result->kind;
         }
@@ -105,6 +114,15 @@
     EXPECT_EQ(m_peer.readAll().bytes, 0u);
 }
 
+// Guards against a journal write that waits for the end of the loop's iteration.
+TEST_F(HttpClientTimeouts, ACallSentAtOnceDoesNotWaitForTheLoop)
+{
+    auto call = order("{}");
+    call.sendAtOnce = true;
+    m_client.send(m_peer.endpoint(), std::move(call), [](const HttpResult&) {});
+    EXPECT_TRUE(m_peer.isConnectedWithin(Duration(1000)));
+}
+
 // Guards against connection pools that are never evicted. Thousands of workers come and go in a day as instances change
 // pools, each with its own address. The client kept timers for each of these addresses, and every iteration of the
 // event loop visited all of them.
