Sort only the waiting steps that some worker has room for

Cause: a placement pass examined and sorted all waiting steps, through pointers into each job, although in a full pool few of them can start.

A pass now drops steps that exceed the largest free capacity of their pool before it sorts, ranks them without following pointers, and checks a worker's flags before it looks up its pool. The plan is the same: the properties of Placement hold.

--- a/include/marigoldlink/Coordination/Placement.h
+++ b/include/marigoldlink/Coordination/Placement.h
@@ -39,6 +39,8 @@
     int step { 0 };
     TimePoint objective; // the job has its full value only if it ends before this
     bool isLate { false }; // by its estimates it can no longer meet the objective
+    int priority { 0 }; // of the job's queue
+    bool isService { false };
 
     StepKey key() const { return { job->spec.id, occurrence, step }; }
     const StepSpec& spec() const { return job->spec.steps[static_cast<std::size_t>(step)]; }
--- a/include/marigoldlink/State/Jobs.h
+++ b/include/marigoldlink/State/Jobs.h
@@ -32,6 +32,9 @@
     }
 };
 
+Resources elementwiseMax(const Resources&, const Resources&);
+Resources elementwiseMin(const Resources&, const Resources&);
+
 // One step of a job: tasks with the same resource needs that may run concurrently.
 struct StepSpec {
     int tasks { 1 };
--- a/include/marigoldlink/Transport/HttpClient.h
+++ b/include/marigoldlink/Transport/HttpClient.h
@@ -37,8 +37,8 @@
     Duration timeout { 1000 };
     // Discard data that the peer has not received also when this process exits.
     bool discardUnsentOnExit { false };
-    // Send within send() and not at the end of the loop's iteration. In the callback of a call to the same endpoint this
-    // needs another connection, as that call's is not yet free.
+    // Send within send() and not at the end of the loop's iteration. In the callback of a call to the same endpoint
+    // this needs another connection, as that call's is not yet free.
     bool sendAtOnce { false };
 };
 
--- a/lib/Coordination/Placement.cpp
+++ b/lib/Coordination/Placement.cpp
@@ -43,8 +43,7 @@
     bool hasHigherPriority(const ReadyStep& left, const ReadyStep& right)
     {
         const auto rank = [](const ReadyStep& step) {
-            return std::tuple(
-                step.job->queue.priority, !step.spec().isService, step.isLate, step.objective.time_since_epoch());
+            return std::tuple(step.priority, !step.isService, step.isLate, step.objective.time_since_epoch());
         };
         const auto leftRank = rank(left);
         const auto rightRank = rank(right);
@@ -73,7 +72,8 @@
                 if (step.done + step.active >= static_cast<int>(step.tasks.size()))
                     continue;
                 if (m_jobs.isStepReady(job, occurrence, static_cast<int>(i)))
-                    ready.push_back({ &job, number, static_cast<int>(i), due, isLate });
+                    ready.push_back({ &job, number, static_cast<int>(i), due, isLate, job.queue.priority,
+                        job.spec.steps[i].isService });
             }
         }
     }
@@ -102,6 +102,7 @@
     };
     struct Service {
         std::vector<CandidateWorker> workers;
+        Resources maxFreeCapacity; // of each resource, over all workers, before the plan
         // Needs of steps without placement constraints for which no worker had enough free capacity. Planning only
         // reduces free capacity, so a need at least as large cannot fit later in the same plan.
         std::vector<Resources> unplaceableNeeds;
@@ -115,6 +116,12 @@
 
     Service& serviceOf(const ReadyStep& step) { return byService.at(step.job->queue.service); }
 
+    // True if no worker had enough free capacity for a task of the step when the plan began.
+    bool exceedsFreeCapacity(const ReadyStep& step)
+    {
+        return !step.spec().reserved().fitsInto(serviceOf(step).maxFreeCapacity);
+    }
+
     bool isKnownUnplaceable(const ReadyStep& step, const Resources& need)
     {
         const auto& unplaceableNeeds = serviceOf(step).unplaceableNeeds;
@@ -252,10 +259,17 @@
         candidates.byService[step.job->queue.service];
     for (auto& [id, service] : candidates.byService) {
         for (const auto& [workerId, worker] : m_workers.ofService(id)) {
-            if (m_isUsable(*worker))
-                service.workers.push_back({ worker, worker->freeCapacity(), {} });
+            if (!m_isUsable(*worker))
+                continue;
+            const auto free = worker->freeCapacity();
+            service.workers.push_back({ worker, free, {} });
+            service.maxFreeCapacity = elementwiseMax(service.maxFreeCapacity, free);
         }
     }
+    // In a full pool this leaves few steps to sort.
+    std::erase_if(waiting, [&candidates](const ReadyStep& step) {
+        return !step.job->queue.needsAdvice && candidates.exceedsFreeCapacity(step);
+    });
     for (const auto& [id, job] : m_jobs.labelledJobs()) {
         const auto service = candidates.byService.find(job->queue.service);
         for (const auto& spec : job->spec.steps) {
--- a/lib/Coordination/PoolSizer.cpp
+++ b/lib/Coordination/PoolSizer.cpp
@@ -95,12 +95,6 @@
         }
     };
 
-    Resources elementwiseMin(const Resources& left, const Resources& right)
-    {
-        return { std::min(left.milliCores, right.milliCores), std::min(left.memoryMegabytes, right.memoryMegabytes),
-            std::min(left.accelerators, right.accelerators) };
-    }
-
     struct PoolState {
         Group whole;
         std::map<std::string, Group> byLabel; // by label that tasks require
--- a/lib/Entry/CoordinatorPools.cpp
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -15,13 +15,6 @@
     // Back-off before an instance whose move was refused is moved again.
     constexpr Duration s_refusedMoveDelay { 1000 };
 
-    // Element-wise maximum.
-    Resources larger(const Resources& left, const Resources& right)
-    {
-        return { std::max(left.milliCores, right.milliCores), std::max(left.memoryMegabytes, right.memoryMegabytes),
-            std::max(left.accelerators, right.accelerators) };
-    }
-
     Resources times(const Resources& resources, int count)
     {
         return { resources.milliCores * count, resources.memoryMegabytes * count, resources.accelerators * count };
@@ -54,7 +47,7 @@
             (*part)[spec.requiredLabel] += need;
     }
     for (const auto& [label, need] : next)
-        now[label] = larger(now[label], need);
+        now[label] = elementwiseMax(now[label], need);
     return now;
 }
 
@@ -62,9 +55,9 @@
 {
     FleetBounds bounds;
     for (const auto& [id, instance] : m_instances) {
-        bounds[{}] = larger(bounds[{}], instance.capacity);
+        bounds[{}] = elementwiseMax(bounds[{}], instance.capacity);
         for (const auto& label : instance.labels)
-            bounds[label] = larger(bounds[label], instance.capacity);
+            bounds[label] = elementwiseMax(bounds[label], instance.capacity);
     }
     return bounds;
 }
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -27,16 +27,16 @@
 
 bool Coordinator::isUsable(const Worker& worker, TimePoint now) const
 {
-    const auto pool = m_operators.config.pools.find(worker.entry.service);
-    if (pool == m_operators.config.pools.end() || pool->second.isSpare)
+    if (!worker.isRegistered || !worker.hasSeenFence || !worker.isRecordStored || !worker.isAnswering
+        || worker.entry.isDraining || worker.isCordoned || worker.isChangingPool || worker.excludedUntil > now
+        || m_operators.evacuatedDataCenters.contains(worker.entry.dataCenter))
         return false;
     // A worker that first answered after another coordinator may have been elected may not have seen the other's fence
     // yet, and would accept stale orders.
     if (!isLeaseValid(now) && worker.fencedAt >= m_leaseValidUntil)
         return false;
-    return worker.isRegistered && worker.hasSeenFence && worker.isRecordStored && worker.isAnswering
-        && !worker.entry.isDraining && !worker.isCordoned && !worker.isChangingPool && worker.excludedUntil <= now
-        && !m_operators.evacuatedDataCenters.contains(worker.entry.dataCenter);
+    const auto pool = m_operators.config.pools.find(worker.entry.service);
+    return pool != m_operators.config.pools.end() && !pool->second.isSpare;
 }
 
 TimePoint Coordinator::predecessorLeasesExpiredBy() const
--- a/lib/State/Jobs.cpp
+++ b/lib/State/Jobs.cpp
@@ -1,6 +1,8 @@
 // Resource arithmetic and text forms of jobs, tasks and run results.
 #include "marigoldlink/State/Jobs.h"
 
+#include <algorithm>
+
 namespace marigoldlink {
 
 Resources& Resources::operator+=(const Resources& other)
@@ -19,6 +21,18 @@
     return *this;
 }
 
+Resources elementwiseMax(const Resources& left, const Resources& right)
+{
+    return { std::max(left.milliCores, right.milliCores), std::max(left.memoryMegabytes, right.memoryMegabytes),
+        std::max(left.accelerators, right.accelerators) };
+}
+
+Resources elementwiseMin(const Resources& left, const Resources& right)
+{
+    return { std::min(left.milliCores, right.milliCores), std::min(left.memoryMegabytes, right.memoryMegabytes),
+        std::min(left.accelerators, right.accelerators) };
+}
+
 Resources StepSpec::reserved() const
 {
     auto reserved = need;
