--- a/unittests/Platform/DecodersTest.cpp
+++ b/unittests/Platform/DecodersTest.cpp
@@ -1,6 +1,7 @@
 // Decoders for records and responses of other programs: valid, malformed and corrupted input.
 #include "platform/AdviceCalls.h"
 #include "platform/CallerGateway.h"
+#include "platform/InstanceCalls.h"
 #include "platform/OperatorRecords.h"
 #include "platform/WorkerCalls.h"
 
@@ -22,6 +23,10 @@
     const std::string s_pollAnswer
         = R"({"clock_ms":482113,"born":5,"running":[["5c0e.0.1.17",2,"abc",41,7]],)"
           R"("ended_runs":[[58,"5c0e.0.1.9",1,"done",""],[59,"5c0e.0.1.10",1,"no such end",""]]})";
+    const std::string s_instances
+        = R"({"machines":[{"machine":"m-1","pool":"gates","state":"up","zone":"riga-a","labels":["a","r1-3"],)"
+          R"("capacity":{"cpu":64000,"mem_mb":131072,"gpu":0},"id":"i-1"},{"machine":"m-2","state":"moving","labels":7}],)"
+          R"("next_token":"m-2"})";
     const std::string s_advice = R"({"good":[["i-1","c81e-7a21d94b"],["i-2"],7,["i-3",5]],"valid_ms":3000})";
     const std::string s_job
         = R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"est_ms":900,"affinity":"r1-3"},)"
@@ -95,6 +100,27 @@
     EXPECT_EQ(decodePollAnswer("{}").status, PollAnswer::Status::Failed);
 }
 
+TEST(Decoders, PagesOfInstances)
+{
+    std::vector<FleetInstance> instances;
+    EXPECT_EQ(decodeInstances(s_instances, instances), "m-2");
+    ASSERT_EQ(instances.size(), 2u);
+    EXPECT_EQ(instances[0].id, "m-1");
+    EXPECT_EQ(instances[0].pool, ServiceId("gates"));
+    EXPECT_EQ(instances[0].state, InstanceState::Up);
+    EXPECT_EQ(instances[0].labels, (std::set<std::string> { "a", "r1-3" }));
+    EXPECT_EQ(instances[0].capacity.milliCores, 64000);
+    EXPECT_EQ(instances[0].worker, WorkerId("i-1"));
+    EXPECT_EQ(instances[1].state, InstanceState::Moving);
+    EXPECT_TRUE(instances[1].labels.empty());
+    EXPECT_EQ(decodeInstances(R"({"machines":[]})", instances), "") << "the last page";
+    EXPECT_EQ(decodeInstances(R"({"machines":[],"next_token":null})", instances), "");
+    EXPECT_EQ(decodeInstances(R"({"machines":[],"next_token":12})", instances), "12");
+    EXPECT_FALSE(decodeInstances("{}", instances));
+    EXPECT_FALSE(decodeInstances(s_instances.substr(0, 90), instances));
+    EXPECT_EQ(instances.size(), 2u);
+}
+
 TEST(Decoders, TaskNames)
 {
     EXPECT_EQ(parseTaskName("ab.0.1.2"), (TaskKey { JobId("ab"), 0, 1, 2 }));
@@ -132,7 +158,7 @@
 {
     std::mt19937 generator(20261204);
     for (int round = 0; round < 4000; ++round) {
-        for (const auto& valid : { s_worker, s_config, s_pollAnswer, s_job, s_advice }) {
+        for (const auto& valid : { s_worker, s_config, s_pollAnswer, s_job, s_advice, s_instances }) {
             auto text = valid;
             const auto edits = 1 + generator() % 4;
             for (std::uint32_t i = 0; i < edits && !text.empty(); ++i) {
@@ -155,6 +181,8 @@
             decodeOperators({ storedValue("op/config", text), storedValue("op/wave/1", text) });
             decodePollAnswer(text);
             decodeAdvice(text);
+            std::vector<FleetInstance> instances;
+            decodeInstances(text, instances);
             decodeJobBody(text);
             parseTaskName(text);
         }
