Do not search all workers again for the next task of a batch step

A task of a batch step only lowers the cost of the worker that it goes to, so the next one goes there too while it fits.

--- a/lib/Coordination/Placement.cpp
+++ b/lib/Coordination/Placement.cpp
@@ -341,6 +341,7 @@
         return job.queue.needsAdvice ? tasks.size() : 1;
     RackId rack;
     std::size_t left = 0;
+    Candidates::CandidateWorker* last = nullptr;
     for (std::size_t i = 0; i < tasks.size() && starts.size() < most; ++i) {
         const TaskKey key { job.spec.id, ready.occurrence, ready.step, static_cast<int>(i) };
         if (!canStart(key, tasks[i], now))
@@ -349,7 +350,10 @@
             candidates.hasTeamAtLimit = true;
             return left;
         }
-        auto* candidate = candidates.bestWorker(spec, ready, need, rack);
+        // The last worker stays the one with the lowest cost while it has room, since a task of a batch step only
+        // lowers its cost.
+        const bool isLastBest = last && !spec.isService && Candidates::isSuitable(*last, spec, ready, need);
+        auto* candidate = isLastBest ? last : candidates.bestWorker(spec, ready, need, rack);
         if (!candidate && !rack.empty())
             candidate = candidates.bestWorker(spec, ready, need, {});
         if (!candidate) {
@@ -365,6 +369,7 @@
         starts.push_back({ key, m_jobs.nextRun(job, key), candidate->worker->entry.incarnation.id });
         Candidates::plan(*candidate, ready, need);
         candidates.use.add(job.spec.team, spec.need);
+        last = candidate;
     }
     return left;
 }
--- a/unittests/Coordination/PlacementTest.cpp
+++ b/unittests/Coordination/PlacementTest.cpp
@@ -139,6 +139,54 @@
     EXPECT_EQ(ready[2].job->spec.id, JobId("lessUrgent"));
 }
 
+// Tasks of a batch step are bin-packed: each goes to the worker with the least free capacity that suffices.
+RC_GTEST_PROP(Placement, EachBatchTaskGoesToTheFullestWorkerWithRoom, ())
+{
+    constexpr std::int64_t capacity = 64000;
+    JobTable jobs;
+    WorkerTable workers;
+    std::map<WorkerId, std::int64_t> freeMilliCores;
+    const auto count = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < count; ++i) {
+        WorkerEntry entry;
+        entry.incarnation.id = WorkerId("w" + std::to_string(i));
+        entry.service = s_service;
+        entry.capacity = { capacity, 1000, 0 };
+        workers.entryChanged(entry);
+        const auto used = *rc::gen::inRange<std::int64_t>(0, capacity);
+        ReservedRun run;
+        run.reserved = { used, 0, 0 };
+        workers.reserve(entry.incarnation.id, { JobId("other"), 0, 0, i }, run);
+        freeMilliCores[entry.incarnation.id] = capacity - used;
+    }
+    JobSpec spec;
+    spec.id = JobId("job");
+    StepSpec step;
+    step.tasks = *rc::gen::inRange(1, 30);
+    step.need = { *rc::gen::inRange<std::int64_t>(1000, 20000), 1, 0 };
+    spec.steps.push_back(step);
+    auto& job = jobs.accept(spec, queue(), s_now);
+    job.version = job.storedVersion = 1;
+    const FleetConfig config;
+    const TeamUsageTotals use;
+    const Placement placement(
+        jobs, workers, config, use, noAdvice, [](const Worker&) { return true; }, [](const Job&) { return true; });
+    const auto starts = placement.plan(s_now, 100).starts;
+    const auto leastWithRoom = [&] {
+        std::optional<std::int64_t> least;
+        for (const auto& [id, free] : freeMilliCores) {
+            if (free >= step.need.milliCores && (!least || free < *least))
+                least = free;
+        }
+        return least;
+    };
+    for (const auto& start : starts) {
+        RC_ASSERT(leastWithRoom() == freeMilliCores.at(start.worker));
+        freeMilliCores.at(start.worker) -= step.need.milliCores;
+    }
+    RC_ASSERT(static_cast<int>(starts.size()) == step.tasks || !leastWithRoom());
+}
+
 // Tasks that any worker can run must not fill the only worker that has the label which other tasks require.
 TEST(Placement, LeavesWorkersWithARequiredLabelToTheTasksThatRequireIt)
 {
