Take submissions of earlier versions without a limit

An entry instance of an earlier version does not send the time in which it needs the reply. It decoded to zero, so that a newer coordinator would have refused each of its submissions during a rolling upgrade. The field is now optional. Found by reading; Submissions.TheTimeOfTheSenderIsPartOfTheCall covers it.

--- a/idl/Fleet.thrift
+++ b/idl/Fleet.thrift
@@ -7,7 +7,7 @@
   2: string job
   3: string queue
   4: string record // the job as it is stored, for a submission
-  5: i64 waitMs // the sender waits this long for the reply
+  5: optional i64 waitMs // the sender waits this long for the reply; earlier versions do not send it
 }
 
 struct FleetReply {
--- a/include/marigoldlink/Protocol/Generated/Fleet_types.h
+++ b/include/marigoldlink/Protocol/Generated/Fleet_types.h
@@ -82,7 +82,9 @@
       return false;
     if (!(record == rhs.record))
       return false;
-    if (!(waitMs == rhs.waitMs))
+    if (__isset.waitMs != rhs.__isset.waitMs)
+      return false;
+    else if (__isset.waitMs && !(waitMs == rhs.waitMs))
       return false;
     return true;
   }
--- a/lib/Entry/PeerCalls.cpp
+++ b/lib/Entry/PeerCalls.cpp
@@ -26,7 +26,8 @@
     call.kind = static_cast<std::int32_t>(request.kind);
     call.job = request.job.id.value();
     call.queue = request.job.queue.value();
-    call.waitMs = request.wait.count();
+    if (request.wait)
+        call.__set_waitMs(request.wait->count());
     if (request.kind == FleetCallRequest::Kind::Submit)
         call.record = encodeJob(request.job);
     return encodePeer(call);
@@ -44,7 +45,8 @@
         request.job = decodeJob(id, call.record);
     request.job.id = id;
     request.job.queue = QueueId(call.queue);
-    request.wait = Duration(call.waitMs);
+    if (call.__isset.waitMs)
+        request.wait = Duration(call.waitMs);
     return request;
 }
 
--- a/lib/Protocol/Generated/Fleet_types.cpp
+++ b/lib/Protocol/Generated/Fleet_types.cpp
@@ -36,6 +36,7 @@
 
 void FleetCall::__set_waitMs(const int64_t val) {
   this->waitMs = val;
+__isset.waitMs = true;
 }
 std::ostream& operator<<(std::ostream& out, const FleetCall& obj)
 {
@@ -138,10 +139,11 @@
   xfer += oprot->writeString(this->record);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("waitMs", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->waitMs);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.waitMs) {
+    xfer += oprot->writeFieldBegin("waitMs", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->waitMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -181,7 +183,7 @@
   out << ", " << "job=" << to_string(job);
   out << ", " << "queue=" << to_string(queue);
   out << ", " << "record=" << to_string(record);
-  out << ", " << "waitMs=" << to_string(waitMs);
+  out << ", " << "waitMs="; (__isset.waitMs ? (out << to_string(waitMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/unittests/Entry/SubmissionsTest.cpp
+++ b/unittests/Entry/SubmissionsTest.cpp
@@ -1,5 +1,6 @@
 // Tests of submissions while the store accepts no writes.
 #include "CoordinatorHarness.h"
+#include "marigoldlink/Entry/PeerCalls.h"
 
 #include <gmock/gmock.h>
 
@@ -113,5 +114,15 @@
         EXPECT_EQ(fleet.replies.back().reply.kind, Reply::Kind::Refused);
     }
 
+    TEST(Submissions, TheTimeOfTheSenderIsPartOfTheCall)
+    {
+        FleetCallRequest request { FleetCallRequest::Kind::Submit, CoordinatorHarness::job("a"), Duration(150) };
+        EXPECT_EQ(decodeCall(encodeCall(request)).wait, Duration(150));
+        request.wait = Duration(-5);
+        EXPECT_EQ(decodeCall(encodeCall(request)).wait, Duration(-5)) << "the caller has stopped waiting";
+        request.wait.reset();
+        EXPECT_EQ(decodeCall(encodeCall(request)).wait, std::nullopt) << "as sent by an earlier version";
+    }
+
 } // namespace
 } // namespace marigoldlink
