--- a/include/marigoldlink/Entry/PeerCalls.h
+++ b/include/marigoldlink/Entry/PeerCalls.h
@@ -13,7 +13,7 @@
 
     Kind kind { Kind::JobStatus };
     JobSpec job; // only id and queue are used unless kind is Submit
-    std::optional<Duration> wait; // time in which the sender needs the reply; nullopt: not known
+    std::optional<Duration> wait {}; // time in which the sender needs the reply; nullopt: not known
 };
 
 std::string encodeCall(const FleetCallRequest&);
