Log why a run is stopped and what maintenance was decided on

Missing in the incident: why service tasks were stopped, what a maintenance order was decided on, and how many polls failed. Lines about them were among those that the rate limit suppressed, so they have a limit of their own.

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -32,9 +32,19 @@
     std::string waveStatusPrefix { "wave-status/" }; // key prefix under which operators read the state of waves
 };
 
+// Why a run is stopped.
+enum class StopReason {
+    JobEnded,
+    Maintenance, // its instance is about to be maintained
+    StartUnanswered, // the start may have taken effect or may still do so
+    NotCurrent, // its task is done, has another run, or belongs to no active job
+    IncompleteGang,
+};
+const char* name(StopReason);
+
 // An entry of the decision log. The adapter writes the log and limits its rate.
 struct Decision {
-    std::string subject; // "job", "task", "worker", "wave" ...
+    std::string subject; // "job", "task", "service" (a task of one), "worker", "wave" ...
     std::string id;
     std::string text;
 };
@@ -146,7 +156,12 @@
     // Charges a run to the resources of its worker and its team.
     void reserveRun(const WorkerId&, const TaskKey&, RunNumber);
     void orderStart(const PlannedStart&, TimePoint now);
-    void orderStop(const WorkerId&, const TaskKey&, RunNumber, TimePoint now);
+    void orderStop(const WorkerId&, const TaskKey&, RunNumber, StopReason, TimePoint now);
+    void sendStop(const Worker&, const TaskKey&, RunNumber, TimePoint now);
+    // Logs what is known of a service when one of its tasks is about to be stopped.
+    void logServiceStop(const Worker&, const TaskKey&, StopReason, TimePoint now) const;
+    // Describes when the worker last answered, for the log.
+    static std::string lastAnswerText(const Worker&, TimePoint now);
     void stopRunsOf(const Job&, TimePoint now);
     void handleRunEnd(const WorkerId&, const TaskKey&, RunNumber, RunEnd, const std::string& checkpoint, TimePoint now);
     void stopIncompleteGangs(TimePoint now);
--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -323,6 +323,8 @@
     void execute(const PollOrder& order)
     {
         m_platform.poll(order, fence(), answered([this, incarnation = order.worker](const PollAnswer& answer) {
+            if (answer.status != PollAnswer::Status::Answered)
+                m_load.countOrder("failed polls");
             m_coordinator.pollAnswered(incarnation, answer, m_loop.now());
         }));
     }
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -450,7 +450,7 @@
         const auto* task = m_jobs.findTask(key.second);
         const auto* worker = m_workers.find(key.first);
         if (worker && worker->runs.contains(key.second))
-            orderStop(key.first, key.second, worker->runs.at(key.second).number, now);
+            sendStop(*worker, key.second, worker->runs.at(key.second).number, now);
         else if (!task)
             at = now + s_idleTickInterval;
     }
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -192,7 +192,7 @@
         stoppedAnswering(*worker);
         worker->recentFailures += 1;
         schedulePoll(*worker, now);
-        orderStop(incarnation.id, key, run, now);
+        orderStop(incarnation.id, key, run, StopReason::StartUnanswered, now);
         return;
     default:
         break;
@@ -219,15 +219,42 @@
     schedulePlacementAt(again);
 }
 
-void Coordinator::orderStop(const WorkerId& id, const TaskKey& key, RunNumber run, TimePoint now)
+void Coordinator::orderStop(const WorkerId& id, const TaskKey& key, RunNumber run, StopReason reason, TimePoint now)
 {
     auto* worker = m_workers.find(id);
     if (!worker)
         return;
+    if (const auto* job = m_jobs.find(key.job); job && job->isActive() && job->stepSpec(key).isService)
+        logServiceStop(*worker, key, reason, now);
     if (auto* task = m_jobs.findTask(key); task && task->run && task->run->number == run)
         task->run->phase = ActiveRun::Phase::Stopping;
-    m_stopRetries[{ id, key }] = now + s_stopRetryDelay;
-    m_orders.emplace_back(StopOrder { worker->entry.incarnation, worker->entry.endpoint, key, run });
+    sendStop(*worker, key, run, now);
+}
+
+void Coordinator::sendStop(const Worker& worker, const TaskKey& key, RunNumber run, TimePoint now)
+{
+    m_stopRetries[{ worker.entry.incarnation.id, key }] = now + s_stopRetryDelay;
+    m_orders.emplace_back(StopOrder { worker.entry.incarnation, worker.entry.endpoint, key, run });
+}
+
+void Coordinator::logServiceStop(const Worker& worker, const TaskKey& key, StopReason reason, TimePoint now) const
+{
+    const auto& job = *m_jobs.find(key.job);
+    const auto occurrence = job.occurrences.find(key.occurrence);
+    const int unavailable
+        = occurrence == job.occurrences.end() ? 0 : unavailableTasks(occurrence->second, key.step, now);
+    log("service", key.text(),
+        std::string("stopping: ") + name(reason) + "; " + std::to_string(unavailable)
+            + " tasks of its step unavailable, limit " + std::to_string(job.stepSpec(key).maxUnavailable) + "; worker "
+            + worker.entry.incarnation.id.value() + lastAnswerText(worker, now));
+}
+
+std::string Coordinator::lastAnswerText(const Worker& worker, TimePoint now)
+{
+    if (!worker.hasSeenFence)
+        return " has not answered yet";
+    return std::string(worker.isAnswering ? " answered " : " does not answer, last answer ")
+        + std::to_string((now - worker.lastAnswer).count()) + " ms ago";
 }
 
 void Coordinator::stopAnswered(
@@ -279,7 +306,7 @@
             runs.emplace_back(id, run->first, run->second.number);
     }
     for (const auto& [id, key, run] : runs)
-        orderStop(id, key, run, now);
+        orderStop(id, key, run, StopReason::JobEnded, now);
 }
 
 void Coordinator::handleRunEnd(
@@ -313,7 +340,7 @@
     m_jobs.runEnded(key, run, how, checkpoint, now);
     // An earlier run that was presumed lost has completed after all, so the later run is superfluous.
     if (const auto* task = m_jobs.findTask(key); task && task->isDone && task->run && task->run->number != run)
-        orderStop(task->run->worker, key, task->run->number, now);
+        orderStop(task->run->worker, key, task->run->number, StopReason::NotCurrent, now);
     if (how != RunEnd::Done)
         log("task", key.text(), "run " + std::to_string(number(run)) + " on " + id.value() + " ended: " + name(how));
     if (const auto* task = m_jobs.findTask(key); task && task->notBefore > now)
@@ -348,7 +375,7 @@
                     const auto& run = step.tasks[index].run;
                     if (run && run->phase == ActiveRun::Phase::Running && now - run->since < s_gangStartWindow)
                         orderStop(run->worker, { id, number, static_cast<int>(i), static_cast<int>(index) },
-                            run->number, now);
+                            run->number, StopReason::IncompleteGang, now);
                 }
             }
         }
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -136,10 +136,14 @@
             continue;
         m_waves.callSent(step.wave, step.instance, now);
         m_maintenanceInFlight.insert(step.instance);
-        log("instance", step.instance, "starting maintenance, wave " + step.wave.value());
+        auto* worker = m_workers.find(m_instances.at(step.instance).worker);
+        const auto load = waveLoad(step.instance, now);
+        log("maintenance", step.instance,
+            std::string(isRepeated ? "repeating" : "starting") + " maintenance, wave " + step.wave.value() + ", "
+                + std::to_string(load.services) + " service tasks, " + std::to_string(load.tasks) + " other tasks; "
+                + (worker ? "worker " + worker->entry.incarnation.id.value() + lastAnswerText(*worker, now)
+                          : "its worker is not known"));
         m_orders.emplace_back(MaintainOrder { step.instance, step.wave, step.number });
-        const auto& instance = m_instances.at(step.instance);
-        auto* worker = m_workers.find(instance.worker);
         if (worker)
             worker->isBeingMaintained = true;
     }
@@ -172,8 +176,7 @@
         const int unavailable = unavailableTasks(job->occurrences.at(key.occurrence), key.step, now);
         if (spec.maxUnavailable > 0 && (unavailable >= spec.maxUnavailable || !isAtFullCapacity(*task, now)))
             continue;
-        log("task", key.text(), "stopping on " + worker.entry.incarnation.id.value() + " for maintenance");
-        orderStop(worker.entry.incarnation.id, key, run.number, now);
+        orderStop(worker.entry.incarnation.id, key, run.number, StopReason::Maintenance, now);
     }
 }
 
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -84,7 +84,7 @@
         reserveRun(id, key, start.run);
         if (auto* task = m_jobs.findTask(key))
             ++task->orphanedRuns;
-        orderStop(id, key, start.run, now);
+        orderStop(id, key, start.run, StopReason::StartUnanswered, now);
     }
 }
 
@@ -267,7 +267,7 @@
         if (!m_jobs.mayAdopt(listed.task, listed.run)) {
             if (task)
                 ++task->orphanedRuns;
-            orderStop(id, listed.task, listed.run, now);
+            orderStop(id, listed.task, listed.run, StopReason::NotCurrent, now);
             return;
         }
         m_jobs.adoptRun(listed.task, listed.run, id, now);
--- a/lib/Entry/Orders.cpp
+++ b/lib/Entry/Orders.cpp
@@ -1,5 +1,5 @@
 // Names of answers and outcomes in logs and metrics.
-#include "marigoldlink/Entry/Measurements.h"
+#include "marigoldlink/Entry/Coordinator.h"
 
 namespace marigoldlink {
 
@@ -53,6 +53,23 @@
     return "unknown";
 }
 
+const char* name(StopReason reason)
+{
+    switch (reason) {
+    case StopReason::JobEnded:
+        return "job_ended";
+    case StopReason::Maintenance:
+        return "maintenance";
+    case StopReason::StartUnanswered:
+        return "start_unanswered";
+    case StopReason::NotCurrent:
+        return "not_current";
+    case StopReason::IncompleteGang:
+        return "incomplete_gang";
+    }
+    return "unknown";
+}
+
 const char* name(CallOutcome outcome)
 {
     switch (outcome) {
