Do not stop a service task because its start had no answer

Cause: the stop of a start without an answer ends the task if the start took effect, and nothing compared it with the step's limit. Class: a destructive order on an assumption instead of an observation.

Now the next poll decides: a listed run goes on, one that is not listed is stopped so that the task can start elsewhere. Batch tasks are stopped at once as before, since no limit applies to them and the stop frees the task sooner.

Entry.UnansweredServiceStarts.* failed before.

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -171,6 +171,9 @@
     void processEnds(Worker&, const std::vector<ListedEnd>&, TimePoint now);
     void reconcileRuns(Worker&, const PollAnswer&, TimePoint now);
     void reconcileRun(Worker&, const ListedRun&, TimePoint now);
+    // Stops the runs whose start had no answer and that a poll sent after it does not list, so that their tasks can
+    // start elsewhere.
+    void resolveUnconfirmedStarts(Worker&, TimePoint now);
     void dropUnlistedRuns(Worker&, const PollAnswer&, TimePoint now);
     void advanceAcknowledged(Worker&) const;
     // Once this is false, another coordinator may be keeping runs alive on workers that this one cannot reach.
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -192,7 +192,10 @@
         stoppedAnswering(*worker);
         worker->recentFailures += 1;
         schedulePoll(*worker, now);
-        orderStop(incarnation.id, key, run, StopReason::StartUnanswered, now);
+        // A stop would end a service task that did start, whatever the number of others that are unavailable.
+        // resolveUnconfirmedStarts() decides by the next poll.
+        if (!worker->runs.at(key).isService)
+            orderStop(incarnation.id, key, run, StopReason::StartUnanswered, now);
         return;
     default:
         break;
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -249,6 +249,7 @@
 {
     for (const auto& listed : answer.running)
         reconcileRun(worker, listed, now);
+    resolveUnconfirmedStarts(worker, now);
     dropUnlistedRuns(worker, answer, now);
 }
 
@@ -283,6 +284,24 @@
         task->checkpoint = listed.checkpoint;
 }
 
+void Coordinator::resolveUnconfirmedStarts(Worker& worker, TimePoint now)
+{
+    const auto& id = worker.entry.incarnation.id;
+    const auto unconfirmed = m_unconfirmedStarts.find(id);
+    if (unconfirmed == m_unconfirmedStarts.end())
+        return;
+    std::erase_if(unconfirmed->second, [now](const auto& start) { return now - start.second.at > s_maxOrderDelay; });
+    for (const auto& [key, start] : unconfirmed->second) {
+        const auto run = worker.runs.find(key);
+        const bool isOpen = run != worker.runs.end() && run->second.number == start.run
+            && !m_confirmedAt.contains({ id, key }) && !m_stopRetries.contains({ id, key });
+        if (isOpen && start.at <= worker.pollSentAt)
+            orderStop(id, key, start.run, StopReason::StartUnanswered, now);
+    }
+    if (unconfirmed->second.empty())
+        m_unconfirmedStarts.erase(unconfirmed);
+}
+
 void Coordinator::dropUnlistedRuns(Worker& worker, const PollAnswer& answer, TimePoint now)
 {
     std::set<std::pair<TaskKey, RunNumber>> listed;
--- a/unittests/Entry/RunsTest.cpp
+++ b/unittests/Entry/RunsTest.cpp
@@ -106,6 +106,51 @@
         EXPECT_GT(number(fleet.starts[0].run), number(first.run));
     }
 
+    // A service of two tasks on one worker, of which one may be unavailable. Both starts got no answer.
+    class UnansweredServiceStarts : public Runs {
+    protected:
+        UnansweredServiceStarts()
+        {
+            begin();
+            auto spec = CoordinatorHarness::job("s", 2);
+            spec.steps[0].isService = true;
+            spec.steps[0].maxUnavailable = 1;
+            fleet.accept(spec);
+            fleet.run(Duration(5));
+            for (const auto& start : fleet.starts)
+                started.push_back({ start.task, start.run, "", 100, 0 });
+            fleet.answerPolls();
+            fleet.answerStarts(StartAnswer::Unknown);
+            fleet.run(Duration(5));
+        }
+
+        std::vector<ListedRun> started;
+    };
+
+    // Guards against AVAIL violations: the starts had taken effect, and the stops that followed ended tasks at full
+    // capacity while more tasks of their step were unavailable than allowed.
+    TEST_F(UnansweredServiceStarts, AreNotStoppedIfTheyTookEffect)
+    {
+        ASSERT_THAT(started, SizeIs(2));
+        EXPECT_THAT(fleet.stops, IsEmpty());
+        for (int i = 0; i < 10; ++i) {
+            fleet.answerPolls(started);
+            fleet.run(Duration(200));
+        }
+        EXPECT_THAT(fleet.stops, IsEmpty());
+        EXPECT_THAT(fleet.starts, IsEmpty());
+        EXPECT_EQ(fleet.coordinator.workers().find(WorkerId("w0"))->runs.size(), 2u);
+    }
+
+    TEST_F(UnansweredServiceStarts, AreStoppedIfThePollAfterThemDoesNotListThem)
+    {
+        fleet.answerPolls({ started.at(0) });
+        fleet.run(Duration(5));
+        ASSERT_THAT(fleet.stops, SizeIs(1));
+        EXPECT_EQ(fleet.stops[0].task, started.at(1).task);
+        EXPECT_THAT(fleet.starts, IsEmpty()) << "the start may still take effect";
+    }
+
     TEST_F(Runs, TheSameSubmissionAgainIsOneJob)
     {
         begin();
