Do not treat an instance as idle while its worker may hold unknown runs

What services ran there ended, beside the tasks that the takeover had already cost: a breach of AVAIL.

Cause: a worker without an answer has no known runs, so its instance counted as idle, and idle instances are maintained first. Class: missing knowledge taken for absence.

Now such an instance is maintained only once the worker has answered or all leases that predecessors may have granted have expired. A worker without a record holds nothing and still counts as idle.

Entry.WavesAfterATakeover.AWorkerThatMayHoldRunsOfAPredecessorIsNotIdle failed before: maintenance after 2.5 s, leases until 7.1 s.

--- a/include/marigoldlink/Coordination/MaintenancePlanner.h
+++ b/include/marigoldlink/Coordination/MaintenancePlanner.h
@@ -21,7 +21,8 @@
     int tasks { 0 }; // tasks that end by themselves
     int services { 0 }; // tasks of services that tolerate the absence of some
     bool mayStopServices { true }; // each of the services can do without its tasks there
-    bool isIdle() const { return !tasks && !services; }
+    bool isKnown { true }; // false while the worker there may hold further tasks
+    bool isIdle() const { return isKnown && !tasks && !services; }
 };
 
 struct MaintenanceStep {
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -60,8 +60,13 @@
     if (found == m_instances.end())
         return load;
     const auto* worker = m_workers.find(found->second.worker);
+    // Nothing was ever started on a worker that is neither registered nor recorded.
     if (!worker)
         return load;
+    if (worker->mayHavePredecessorRuns) {
+        load.isKnown = false;
+        load.mayStopServices = false;
+    }
     for (const auto& [key, run] : worker->runs) {
         const auto* job = m_jobs.find(key.job);
         if (!job || !job->isActive())
--- a/unittests/Entry/WavesTest.cpp
+++ b/unittests/Entry/WavesTest.cpp
@@ -119,6 +119,68 @@
         EXPECT_THAT(fleet.maintenance, SizeIs(2)) << "the maintenance is retried";
     }
 
+    // A coordinator that takes over a worker with one run of a service; the wave asks for the worker's instance.
+    class WavesAfterATakeover : public testing::Test {
+    protected:
+        WavesAfterATakeover()
+            : fleet({ 20, 2 })
+        {
+            FleetInstance instance;
+            instance.id = "m-w1";
+            instance.pool = ServiceId("gates");
+            instance.worker = WorkerId("w1");
+            instance.capacity = { 8000, 100000, 0 };
+            MaintenanceWave wave;
+            wave.id = WaveId("1");
+            wave.number = 1;
+            wave.instances = { instance.id };
+            fleet.operators.waves[wave.id] = wave;
+            fleet.coordinator.setOperators(fleet.operators, fleet.now);
+            auto spec = CoordinatorHarness::job("s", 2);
+            spec.steps[0].isService = true;
+            spec.steps[0].maxUnavailable = 1;
+            fleet.coordinator.restoreJob(spec, {}, fleet.now);
+            fleet.coordinator.instancesListed({ instance }, fleet.now);
+            instances = { instance };
+        }
+
+        // Time from now to the maintenance call, while no poll of the worker succeeds.
+        Duration timeToMaintenance()
+        {
+            const auto since = fleet.now;
+            fleet.run(Duration(5));
+            fleet.failPolls("w1");
+            fleet.coordinator.finishRestore(fleet.now);
+            while (fleet.maintenance.empty() && fleet.now < since + Duration(15000)) {
+                fleet.run(Duration(50));
+                fleet.failPolls("w1");
+            }
+            return fleet.now - since;
+        }
+
+        // By then every lease that a predecessor may have granted has expired: 4 s in which it may order, and a lease
+        // of 3 s on a clock that is 2% slow.
+        static constexpr Duration leasesExpireAfter { 7061 };
+
+        CoordinatorHarness fleet;
+        std::vector<FleetInstance> instances;
+    };
+
+    // Guards against AVAIL violations: an instance whose worker had not answered the new coordinator counted as idle,
+    // so it was maintained first, and the tasks of services on it ended.
+    TEST_F(WavesAfterATakeover, AWorkerThatMayHoldRunsOfAPredecessorIsNotIdle)
+    {
+        fleet.coordinator.restoreWorker(fleet.addWorker("w1"), std::nullopt, fleet.now);
+        EXPECT_GE(timeToMaintenance(), leasesExpireAfter);
+        EXPECT_THAT(fleet.maintenance, SizeIs(1)) << "nothing can run there any more";
+    }
+
+    TEST_F(WavesAfterATakeover, AWorkerOnWhichNothingWasStartedIsIdle)
+    {
+        fleet.addWorker("w1"); // registered, but without a record
+        EXPECT_LT(timeToMaintenance(), leasesExpireAfter);
+    }
+
     class AcceptedMaintenance : public Waves {
     protected:
         // The maintenance call for the first worker's instance is accepted.
