Keep the slot of an instance whose repeated maintenance call had no answer

A call was lost, its repetition took effect without an answer, and a rejection after that freed the slot, since the time of the first call counted. An operator would see more instances down than a wave allows.

Now the time of the last unanswered call counts.

--- a/include/marigoldlink/Coordination/MaintenancePlanner.h
+++ b/include/marigoldlink/Coordination/MaintenancePlanner.h
@@ -84,9 +84,9 @@
         bool hasChanged { false };
     };
     struct MaintenanceCall {
-        TimePoint startedAt;
+        TimePoint sentAt; // of the last call; once accepted, when the answer arrived
         bool isAccepted { false };
-        bool wasUnanswered { false }; // at least one call had no answer
+        std::optional<TimePoint> unansweredSentAt; // of the last call that had no answer
         std::optional<TimePoint> retryAt; // when the call is sent again
     };
 
--- a/lib/Coordination/MaintenancePlanner.cpp
+++ b/lib/Coordination/MaintenancePlanner.cpp
@@ -67,7 +67,7 @@
         const auto found = instances.find(entry.first);
         if (found == instances.end())
             return true;
-        return entry.second.isAccepted && now - entry.second.startedAt > m_limits.maintenanceDuration + s_listLag
+        return entry.second.isAccepted && now - entry.second.sentAt > m_limits.maintenanceDuration + s_listLag
             && found->second.state == InstanceState::Up;
     });
     for (auto& [id, state] : m_waves) {
@@ -116,17 +116,15 @@
 
 void MaintenancePlanner::callSent(const WaveId&, const std::string& instance, TimePoint now)
 {
-    // For a repeated call, the time of the first call without an answer stays in force.
     auto& call = m_underMaintenance[instance];
-    if (!call.wasUnanswered)
-        call.startedAt = now;
+    call.sentAt = now;
     call.retryAt.reset();
     m_reservedSince.erase(instance);
 }
 
 void MaintenancePlanner::callAccepted(const std::string& instance, TimePoint now)
 {
-    m_underMaintenance[instance] = { now, true, false, std::nullopt };
+    m_underMaintenance[instance] = { now, true, std::nullopt, std::nullopt };
     for (auto& [id, state] : m_waves) {
         if (!state.isRequested || state.isComplete)
             continue;
@@ -140,8 +138,8 @@
 void MaintenancePlanner::callRejected(const std::string& instance, TimePoint now)
 {
     const auto call = m_underMaintenance.find(instance);
-    const bool mayBeUnderMaintenance = call != m_underMaintenance.end() && call->second.wasUnanswered
-        && now - call->second.startedAt < m_limits.maintenanceDuration + s_listLag;
+    const bool mayBeUnderMaintenance = call != m_underMaintenance.end() && call->second.unansweredSentAt
+        && now - *call->second.unansweredSentAt < m_limits.maintenanceDuration + s_listLag;
     if (mayBeUnderMaintenance) {
         // An earlier call had no answer, and this rejection does not show whether that one was carried out.
         call->second.retryAt = now + s_retryDelay;
@@ -155,7 +153,7 @@
 {
     auto& call = m_underMaintenance[instance];
     call.retryAt = now + s_retryDelay;
-    call.wasUnanswered = true;
+    call.unansweredSentAt = call.sentAt;
 }
 
 bool MaintenancePlanner::hasWork() const
--- a/unittests/Coordination/MaintenancePlannerTest.cpp
+++ b/unittests/Coordination/MaintenancePlannerTest.cpp
@@ -102,6 +102,32 @@
     RC_ASSERT(isComplete);
 }
 
+// Guards against LIMIT violations (RapidCheck seed 23770 of the property above): the repetition of a lost call took
+// effect without an answer, and a rejection after it freed the slot while the instance was still down.
+TEST(MaintenancePlanner, ARejectionDoesNotFreeTheSlotOfALaterUnansweredCall)
+{
+    Fleet fleet(2);
+    MaintenancePlanner plan({ Duration(2000), Duration(500) });
+    const auto load = [](const std::string&) { return InstanceLoad {}; };
+    const TimePoint begin { Duration(1000) };
+    plan.setWaves({ { s_wave, wave(2, 1) } });
+    ASSERT_EQ(plan.plan(fleet.instances, load, begin).size(), 1u);
+    plan.callSent(s_wave, "i0", begin);
+    plan.callUnanswered("i0", begin);
+    const auto repeatedAt = begin + Duration(1000);
+    ASSERT_EQ(plan.plan(fleet.instances, load, repeatedAt).size(), 1u);
+    plan.callSent(s_wave, "i0", repeatedAt);
+    fleet.begin("i0", repeatedAt);
+    plan.callUnanswered("i0", repeatedAt);
+    const auto rejectedAt = begin + Duration(2500);
+    ASSERT_EQ(plan.plan(fleet.instances, load, rejectedAt).size(), 1u);
+    plan.callSent(s_wave, "i0", rejectedAt);
+    plan.callRejected("i0", rejectedAt);
+    EXPECT_TRUE(plan.isUnderMaintenance("i0"));
+    for (const auto& step : plan.plan(fleet.instances, load, rejectedAt + Duration(100)))
+        EXPECT_EQ(step.instance, "i0");
+}
+
 TEST(MaintenancePlanner, WaitsForServicesThatCannotSpareATask)
 {
     Fleet fleet(1);
