--- a/include/marigoldlink/Coordination/Journal.h
+++ b/include/marigoldlink/Coordination/Journal.h
@@ -37,7 +37,7 @@
 enum class RecordClass {
     Urgent, // a caller waits for its job to be accepted, or starts wait for the worker's record
     Progress, // ended runs, which are acknowledged to the workers once stored
-    Removal, // nothing waits for it
+    Removal, // nothing waits for it here, but a successor that finds the record has to poll the worker
 };
 constexpr std::size_t recordClasses = 3;
 
@@ -56,6 +56,8 @@
     // Number of records in each batch for which urgent records take precedence over progress. Progress is not delayed
     // further, since workers report an ended run again and again until it is acknowledged.
     static constexpr std::size_t urgentRecordsPerBatch = maxRecords / 2;
+    // Number of records in each batch for which removals take precedence over progress.
+    static constexpr std::size_t removalsPerBatch = maxRecords / 4;
 
     // Queues a record. It replaces a queued record with the same key and then has the more urgent of the two classes.
     void put(const std::string& key, std::string value, RecordClass);
--- a/lib/Coordination/Journal.cpp
+++ b/lib/Coordination/Journal.cpp
@@ -89,6 +89,7 @@
         m_batch = JournalBatch { ++m_number, m_head, {}, {} };
         const auto size = [this] { return m_batch->puts.size() + m_batch->removals.size(); };
         moveToBatch(RecordClass::Urgent, urgentRecordsPerBatch);
+        moveToBatch(RecordClass::Removal, removalsPerBatch);
         for (const auto recordClass : { RecordClass::Progress, RecordClass::Urgent, RecordClass::Removal })
             moveToBatch(recordClass, maxRecords - size());
     }
