Recognize workers that ended before a takeover by the list of instances

Seen: after a takeover under load, a service started next to nothing for seconds (15 to 44 starts a second with 375 active jobs), and its tasks stayed unavailable.

Cause: a move or maintenance that the predecessor ordered last leaves the record of a worker that will never answer. Until every lease of predecessors had expired (7 s), that one record held back all restored jobs of its service. Moves go on all the time, so most takeovers met one. Class: the timeout of the worst case where another source gives the answer.

The record now names the instance, and a list that is certainly newer than the takeover shows that it has another worker or restarts. Records without the name (of earlier versions) and instances that are down wait as before.

Entry.TakeoverOfEndedWorkers.AWorkerThatWasReplacedHoldsNoRuns failed before (7,070 ms).

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -229,6 +229,9 @@
     void workerMayHaveEnded(const FleetInstance&, TimePoint now);
     void resolveEndingWorkers(TimePoint now);
     void handleWorkerEnded(const WorkerId&, TimePoint now);
+    // Removes workers of a predecessor that have not answered and whose life has ended by the list of instances. They
+    // hold no runs.
+    void removeReplacedWorkers(TimePoint now);
     InstanceLoad waveLoad(const std::string& instance, TimePoint now) const;
     // True for a service task that its worker recently reported as running at full capacity.
     bool isAtFullCapacity(const Task&, TimePoint now) const;
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -17,6 +17,8 @@
     constexpr Duration s_listPeriod { 500 };
     // Minimum interval between two reads of the list while the results of accepted calls are pending.
     constexpr Duration s_minListPeriod { 150 };
+    // Maximum age of what the list shows.
+    constexpr Duration s_maxListLag { 1500 };
     // Changes by accepted calls within this time share a journal write.
     constexpr Duration s_recordDelay { 20 };
 
@@ -35,6 +37,30 @@
         m_instances.emplace(id, std::move(instance));
     }
     resolveEndingWorkers(now);
+    removeReplacedWorkers(now);
+}
+
+void Coordinator::removeReplacedWorkers(TimePoint now)
+{
+    // A list that is older than this coordinator may be older than a worker that its predecessor recorded.
+    if (!m_mayHavePredecessorRuns || m_listAskedAt <= m_startedAt + s_maxListLag)
+        return;
+    std::vector<WorkerId> replaced;
+    for (const auto& [id, worker] : m_workers.workers()) {
+        const auto found = m_instances.find(worker.entry.instance);
+        if (!worker.mayHavePredecessorRuns || found == m_instances.end())
+            continue;
+        const auto& instance = found->second;
+        const bool hasOtherWorker
+            = instance.state == InstanceState::Up && !instance.worker.empty() && instance.worker != id;
+        if (hasOtherWorker || instance.state == InstanceState::Moving || instance.state == InstanceState::Maintenance)
+            replaced.push_back(id);
+    }
+    for (const auto& id : replaced) {
+        log("worker", id.value(), "ended before the takeover: its instance has another worker or restarts");
+        handleWorkerEnded(id, now);
+        scheduleFullPlacement();
+    }
 }
 
 bool Coordinator::isAtFullCapacity(const Task& task, TimePoint now) const
--- a/lib/Protocol/JobCodec.cpp
+++ b/lib/Protocol/JobCodec.cpp
@@ -162,7 +162,8 @@
 {
     const auto& entry = record.entry;
     Json json { { "service", entry.service.value() }, { "address", entry.endpoint.text() },
-        { "data_center", entry.dataCenter.value() }, { "born_ms", entry.incarnation.startedUnixMs } };
+        { "data_center", entry.dataCenter.value() }, { "born_ms", entry.incarnation.startedUnixMs },
+        { "instance", entry.instance } };
     if (record.onlyRuns) {
         json["runs"] = Json::array();
         for (const auto& task : *record.onlyRuns)
@@ -180,6 +181,7 @@
         entry.service = ServiceId(json.at("service").get<std::string>());
         entry.endpoint = Endpoint::parse(json.at("address").get<std::string>());
         entry.dataCenter = DataCenterId(json.value("data_center", ""));
+        entry.instance = json.value("instance", ""); // absent in records of earlier versions
         if (const auto runs = json.find("runs"); runs != json.end()) {
             worker.onlyRuns.emplace();
             for (const auto& row : *runs)
--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -377,6 +377,62 @@
         EXPECT_THAT(fleet.starts, SizeIs(1));
     }
 
+    // A worker of a predecessor that does not answer; the list of instances tells which worker its instance has now.
+    class TakeoverOfEndedWorkers : public testing::Test {
+    protected:
+        // Returns the time from the takeover until a task starts elsewhere.
+        static Duration timeToStart(InstanceState state, const std::string& listedWorker)
+        {
+            CoordinatorHarness fleet({ 20, 2 });
+            const auto since = fleet.now;
+            fleet.addWorker("w1");
+            WorkerEntry recorded;
+            recorded.incarnation = { WorkerId("w2"), 1 };
+            recorded.service = ServiceId("gates");
+            recorded.instance = "m-2";
+            fleet.coordinator.restoreWorker(recorded, std::nullopt, fleet.now);
+            fleet.coordinator.restoreJob(CoordinatorHarness::job("a"), {}, fleet.now);
+            FleetInstance instance;
+            instance.id = "m-2";
+            instance.state = state;
+            instance.pool = ServiceId("gates");
+            instance.worker = WorkerId(listedWorker);
+            fleet.takeOverWithout("w2", "w1");
+            int listed = 0;
+            while (fleet.starts.empty() && fleet.now < since + Duration(15000)) {
+                fleet.run(Duration(50));
+                fleet.answerPolls({}, {}, "w1");
+                fleet.failPolls("w2");
+                if (std::exchange(listed, fleet.lists) < fleet.lists)
+                    fleet.coordinator.instancesListed({ instance }, fleet.now);
+            }
+            return fleet.now - since;
+        }
+
+        static constexpr Duration leasesExpireAfter { 7061 };
+    };
+
+    // Guards against a service that starts nothing for 7 s after each takeover, since an instance of it had been moved
+    // or maintained shortly before and the record of its worker was still stored.
+    TEST_F(TakeoverOfEndedWorkers, AWorkerThatWasReplacedHoldsNoRuns)
+    {
+        EXPECT_LT(timeToStart(InstanceState::Up, "w3"), Duration(2500));
+        EXPECT_LT(timeToStart(InstanceState::Moving, ""), Duration(2500));
+        EXPECT_LT(timeToStart(InstanceState::Maintenance, ""), Duration(2500));
+    }
+
+    TEST_F(TakeoverOfEndedWorkers, AListThatMayBeOlderThanTheWorkerIsNotUsed)
+    {
+        EXPECT_GE(timeToStart(InstanceState::Up, "w3"), Duration(1500));
+    }
+
+    TEST_F(TakeoverOfEndedWorkers, AWorkerThatIsListedOrWhoseInstanceIsDownMayHoldRuns)
+    {
+        EXPECT_GE(timeToStart(InstanceState::Up, "w2"), leasesExpireAfter);
+        EXPECT_GE(timeToStart(InstanceState::Down, ""), leasesExpireAfter);
+        EXPECT_GE(timeToStart(InstanceState::Up, ""), leasesExpireAfter);
+    }
+
     // A pool below its need and a spare instance, for a coordinator that has taken over.
     class TakeoverOfInstances : public testing::Test {
     protected:
