Bound the rate of polls of workers that do not answer

Starts fell to 15 to 150 a second while 375 jobs were active.

Cause: each silent worker was polled again after 300 ms, whatever their number.

Now failed polls of registered workers share a rate, at 0.3 to 2 s for each worker, which is below the lease. Workers outside the registry, which have most likely ended, are polled every 2 s and at once when they register again.

Entry.PollsOfSilentWorkers.ShareARate failed before (15,600 polls in 4 s, at most 4,800 expected).

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -190,6 +190,8 @@
     // Delay of the next poll of a worker whose ends are not stored yet. Such polls share a rate, so that their number
     // does not grow when the store is slow.
     Duration immediatePollDelay(Duration minimum) const;
+    // Delay until a worker is polled again after a failed poll.
+    Duration failedPollDelay(const Worker&);
     void removeMissingWorkers(TimePoint now);
     void removeWorker(const WorkerId&);
     void expireLeases(TimePoint now);
@@ -272,6 +274,7 @@
     // entries are stale and ignored.
     std::multimap<TimePoint, WorkerId> m_pollQueue;
     std::set<WorkerId> m_withPendingEnds; // invariant: exactly the workers with unacknowledged ends
+    std::set<WorkerId> m_silentWorkers; // registered workers whose last poll failed
     bool m_mayHavePredecessorRuns { false }; // some worker may hold runs of a predecessor
     TimePoint m_nextExpiryCheck;
     TimePoint m_nextMissingCheck;
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -12,8 +12,11 @@
     constexpr Duration s_idlePollWait { 2000 };
     // Long-poll time for workers with best-effort tasks, so that their throttle follows the services' tail latency.
     constexpr Duration s_throttledPollWait { 400 };
-    // Back-off after a failed poll.
+    // Back-off after a failed poll. The longest one finds a worker again before its lease expires.
     constexpr Duration s_failedPollDelay { 300 };
+    constexpr Duration s_maxFailedPollDelay { 2000 };
+    // Rate that failed polls of registered workers share. A worker outside the registry has most likely ended.
+    constexpr std::size_t s_repeatedPollsPerSecond = 500;
     // Delay of the next poll after ends were listed, so that they share a journal write before it.
     constexpr Duration s_endBatchDelay { 30 };
     // An order without an answer may take effect up to this much later (the platform delays orders by 2 to 12 s).
@@ -45,8 +48,9 @@
     if (m_workers.isLaterIncarnation(entry))
         beginIncarnation(*m_workers.find(entry.incarnation.id), entry.incarnation.startedUnixMs, now);
     const bool isMoved = !isNew && (known->entry.endpoint != entry.endpoint || known->entry.service != entry.service);
+    const bool isBack = known && !known->isRegistered && !known->isAnswering && !known->isPollInFlight;
     m_workers.entryChanged(entry);
-    if (isNew)
+    if (isNew || isBack)
         schedulePoll(*m_workers.find(entry.incarnation.id), now);
     if (isNew || isMoved || !m_workers.find(entry.incarnation.id)->isRecordStored)
         m_workersToRecord.insert(entry.incarnation.id);
@@ -61,6 +65,7 @@
 void Coordinator::workerEntryRemoved(const WorkerId& id, TimePoint now)
 {
     m_workers.entryRemoved(id, now);
+    m_silentWorkers.erase(id);
     log("worker", id.value(), "left the registry");
 }
 
@@ -154,6 +159,7 @@
 void Coordinator::removeWorker(const WorkerId& id)
 {
     m_workers.remove(id);
+    m_silentWorkers.erase(id);
     m_nextThrottleAt.erase(id);
     m_workersToRecord.erase(id);
     m_journal.remove(records::worker(id));
@@ -178,7 +184,7 @@
                 answer.status == PollAnswer::Status::OtherIncarnation ? "another worker is at its address"
                                                                       : "does not answer");
         stoppedAnswering(*worker);
-        schedulePoll(*worker, now + s_failedPollDelay);
+        schedulePoll(*worker, now + failedPollDelay(*worker));
         return;
     }
     if (answer.startedUnixMs && answer.startedUnixMs != worker->entry.incarnation.startedUnixMs) {
@@ -205,6 +211,7 @@
     if (!worker->isAnswering || !worker->hasSeenFence || worker->mayHavePredecessorRuns)
         scheduleFullPlacement();
     worker->isAnswering = true;
+    m_silentWorkers.erase(incarnation.id);
     if (!worker->hasSeenFence)
         worker->fencedAt = now;
     worker->hasSeenFence = true;
@@ -222,6 +229,15 @@
         schedulePoll(*worker, worker->pendingEnds.empty() ? now : now + immediatePollDelay(s_unstoredEndsDelay));
 }
 
+Duration Coordinator::failedPollDelay(const Worker& worker)
+{
+    if (!worker.isRegistered)
+        return s_maxFailedPollDelay;
+    m_silentWorkers.insert(worker.entry.incarnation.id);
+    const Duration shared(m_silentWorkers.size() * 1000 / s_repeatedPollsPerSecond);
+    return std::clamp(shared, s_failedPollDelay, s_maxFailedPollDelay);
+}
+
 Duration Coordinator::immediatePollDelay(Duration minimum) const
 {
     // At most the interval of long polls, which extends the leases in time.
--- a/unittests/Entry/PollLoadTest.cpp
+++ b/unittests/Entry/PollLoadTest.cpp
@@ -1,4 +1,4 @@
-// Tests of the number of polls while ends wait for the store.
+// Tests of the number of polls while ends wait for the store, and of polls of workers that do not answer.
 #include "CoordinatorHarness.h"
 
 #include <gtest/gtest.h>
@@ -106,5 +106,64 @@
         EXPECT_EQ(m_acknowledged.size(), static_cast<std::size_t>(s_workers));
     }
 
+    // Fails all polls for the given time. Returns their number and records when each worker was polled last.
+    std::size_t failAllPolls(CoordinatorHarness& fleet, Duration time, std::map<WorkerId, TimePoint>& lastPoll)
+    {
+        std::size_t count = 0;
+        for (Duration passed { 0 }; passed < time; ++passed) {
+            fleet.run(Duration(1));
+            for (const auto& poll : std::exchange(fleet.polls, {})) {
+                lastPoll[poll.worker.id] = fleet.now;
+                fleet.coordinator.pollAnswered(poll.worker, {}, fleet.now);
+                ++count;
+            }
+        }
+        return count;
+    }
+
+    // Guards against a coordinator without processor time after a takeover: up to a thousand workers did not answer,
+    // most of them as they had ended, and each was polled again every 300 ms, which made up half of all polls.
+    TEST(PollsOfSilentWorkers, ShareARate)
+    {
+        CoordinatorHarness fleet({ 20, 2 });
+        WorkerEntry ended;
+        ended.service = ServiceId("gates");
+        for (int i = 0; i < s_workers; ++i) {
+            ended.incarnation = { WorkerId(workerId(i)), 1 };
+            if (i % 2)
+                fleet.addWorker(workerId(i));
+            fleet.coordinator.restoreWorker(ended, std::nullopt, fleet.now);
+        }
+        std::map<WorkerId, TimePoint> lastPoll;
+        fleet.run(Duration(5));
+        failAllPolls(fleet, Duration(5), lastPoll);
+        fleet.coordinator.finishRestore(fleet.now);
+        constexpr int seconds = 4;
+        const auto polls = failAllPolls(fleet, Duration(seconds * 1000), lastPoll);
+        EXPECT_LE(polls, static_cast<std::size_t>(seconds * s_workers)) << "more than one a second for each worker";
+        ASSERT_EQ(lastPoll.size(), static_cast<std::size_t>(s_workers));
+        for (const auto& [id, at] : lastPoll)
+            EXPECT_LT(fleet.now - at, s_lease) << id.value() << " is not found again within a lease";
+    }
+
+    TEST(PollsOfSilentWorkers, ASingleOneIsPolledAgainSoonEvenBesideEndedOnes)
+    {
+        CoordinatorHarness fleet({ 20, 2 });
+        WorkerEntry ended;
+        ended.service = ServiceId("gates");
+        for (int i = 0; i < s_workers; ++i) {
+            ended.incarnation = { WorkerId("ended" + std::to_string(i)), 1 };
+            fleet.coordinator.restoreWorker(ended, std::nullopt, fleet.now);
+        }
+        fleet.addWorker("w1");
+        std::map<WorkerId, TimePoint> lastPoll;
+        failAllPolls(fleet, Duration(20), lastPoll);
+        fleet.coordinator.finishRestore(fleet.now);
+        for (int i = 0; i < 10; ++i) {
+            failAllPolls(fleet, Duration(400), lastPoll);
+            EXPECT_LE(fleet.now - lastPoll.at(WorkerId("w1")), Duration(400));
+        }
+    }
+
 } // namespace
 } // namespace marigoldlink
