Skip workers without room before the other checks of a placement pass

The coordinator has half of a core, so its cost a run decides how many starts it can order at a peak. In a full pool a pass checked, for each worker, pool, data centre and record before its room. Counters of each start and end were looked up in prometheus-cpp by a map of labels.

The plan is the same (Coordination.Placement.*).

--- a/lib/Coordination/Placement.cpp
+++ b/lib/Coordination/Placement.cpp
@@ -103,6 +103,9 @@
     struct Service {
         std::vector<CandidateWorker> workers;
         Resources maxFreeCapacity; // of each resource, over all workers, before the plan
+        // Smallest need of each resource over the waiting steps. Nothing, if one of them needs advice, which is
+        // requested whether workers have room or not.
+        Resources minNeed;
         // Needs of steps without placement constraints for which no worker had enough free capacity. Planning only
         // reduces free capacity, so a need at least as large cannot fit later in the same plan.
         std::vector<Resources> unplaceableNeeds;
@@ -255,13 +258,20 @@
     if (waiting.empty())
         return result;
     Candidates candidates { {}, m_use, &m_advice, now };
-    for (const auto& step : waiting)
-        candidates.byService[step.job->queue.service];
+    for (const auto& step : waiting) {
+        const auto need = step.spec().reserved();
+        const auto [position, isNew] = candidates.byService.try_emplace(step.job->queue.service);
+        auto& minNeed = position->second.minNeed;
+        if (step.job->queue.needsAdvice)
+            minNeed = Resources {};
+        else
+            minNeed = isNew ? need : elementwiseMin(minNeed, need);
+    }
     for (auto& [id, service] : candidates.byService) {
         for (const auto& [workerId, worker] : m_workers.ofService(id)) {
-            if (!m_isUsable(*worker))
-                continue;
             const auto free = worker->freeCapacity();
+            if (!service.minNeed.fitsInto(free) || !m_isUsable(*worker))
+                continue;
             service.workers.push_back({ worker, free, {} });
             service.maxFreeCapacity = elementwiseMax(service.maxFreeCapacity, free);
         }
--- a/lib/Entry/FleetMetrics.cpp
+++ b/lib/Entry/FleetMetrics.cpp
@@ -22,6 +22,22 @@
 
     double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
+    // Counters of a family with one label whose values are those of an enumeration. A look-up in the family costs
+    // several allocations and takes a lock, which the events of each run cannot afford.
+    template <typename Value> class CountersByValue {
+    public:
+        void increment(prometheus::Family<prometheus::Counter>& family, const char* label, Value value)
+        {
+            auto& counter = m_counters[value];
+            if (!counter)
+                counter = &family.Add({ { label, name(value) } });
+            counter->Increment();
+        }
+
+    private:
+        std::map<Value, prometheus::Counter*> m_counters; // owned by the family
+    };
+
 } // namespace
 
 struct FleetMetrics::Impl {
@@ -44,6 +60,8 @@
     prometheus::Counter& loopIterations;
     prometheus::Gauge& coordinator;
     prometheus::Counter& unlogged;
+    CountersByValue<RunEnd> runsByEnd;
+    CountersByValue<StartAnswer> startsByAnswer;
     std::set<TeamId> knownTeams;
     std::set<ServiceId> knownPools;
 
@@ -107,12 +125,9 @@
             .Observe(seconds(job.time));
     }
 
-    void record(const RunEnded& run) { runs.Add({ { "how", marigoldlink::name(run.how) } }).Increment(); }
+    void record(const RunEnded& run) { runsByEnd.increment(runs, "how", run.how); }
 
-    void record(const StartAnswered& start)
-    {
-        starts.Add({ { "answer", marigoldlink::name(start.answer) } }).Increment();
-    }
+    void record(const StartAnswered& start) { startsByAnswer.increment(starts, "answer", start.answer); }
 
     void record(const JournalWritten& write)
     {
