Send the first polls of a takeover in parts

Seen: 1,162 of 1,441 polls of the second after a takeover failed, and 2,700 of 3,000 in the seconds after later ones, while most workers were reachable.

Cause: a takeover sent up to 2,151 polls in one iteration of the event loop. Connecting takes some 0.2 ms of half a core each and the answers are awaited for 600 ms from then on, so polls timed out in the coordinator itself, and the next attempt came as one burst again. Class: a deadline that own work uses up, counted as the silence of the peer.

Now at most 64 polls of workers that have not answered are sent at once. Polls of answering workers are not delayed. Entry.PollsAfterATakeover.* failed before (1,200 at once). The fixture PollLoad gives the first polls 50 ms instead of 5; its checks are unchanged.

--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -12,6 +12,10 @@
     constexpr Duration s_idlePollWait { 2000 };
     // Long-poll time for workers with best-effort tasks, so that their throttle follows the services' tail latency.
     constexpr Duration s_throttledPollWait { 400 };
+    // Maximum number of polls per tick of workers that have not answered. The answers to the first ones are read before
+    // the next ones are sent, so that polls do not time out while this process is busy sending.
+    constexpr std::size_t s_maxFirstPollsPerTick = 64;
+    constexpr Duration s_firstPollInterval { 1 }; // between two parts of such polls
     // Back-off after a failed poll. The longest one finds a worker again before its lease expires.
     constexpr Duration s_failedPollDelay { 300 };
     constexpr Duration s_maxFailedPollDelay { 2000 };
@@ -103,11 +107,17 @@
 void Coordinator::pollDueWorkers(TimePoint now)
 {
     removeMissingWorkers(now);
+    std::size_t firstPolls = 0;
     while (!m_pollQueue.empty() && m_pollQueue.begin()->first <= now) {
         const auto id = m_pollQueue.extract(m_pollQueue.begin()).mapped();
         // A poll in flight schedules the next one when it ends.
-        if (auto* worker = m_workers.find(id); worker && !worker->isPollInFlight && worker->nextPollAt <= now)
-            sendPoll(*worker, now);
+        if (auto* worker = m_workers.find(id); worker && !worker->isPollInFlight && worker->nextPollAt <= now) {
+            const auto part = worker->isAnswering ? 0 : firstPolls++ / s_maxFirstPollsPerTick;
+            if (part)
+                schedulePoll(*worker, now + s_firstPollInterval * static_cast<std::int64_t>(part));
+            else
+                sendPoll(*worker, now);
+        }
     }
     if (!m_pollQueue.empty())
         m_nextTick = std::min(m_nextTick, m_pollQueue.begin()->first);
--- a/unittests/Entry/PollLoadTest.cpp
+++ b/unittests/Entry/PollLoadTest.cpp
@@ -22,7 +22,7 @@
                 ids.push_back(workerId(i));
             for (const auto& id : ids)
                 m_fleet.addWorker(id, 1000);
-            m_fleet.run(Duration(5));
+            m_fleet.run(Duration(50)); // first polls are sent in parts
             m_fleet.answerPolls();
             m_fleet.coordinator.finishRestore(m_fleet.now);
             storeAll();
@@ -121,6 +121,27 @@
         return count;
     }
 
+    // Guards against polls that time out in the coordinator itself. A takeover sent two thousand polls in one iteration
+    // of the event loop; connecting took longer than their timeout, so reachable workers counted as silent, and so on
+    // with the next attempt.
+    TEST(PollsAfterATakeover, AreSentInPartsBetweenWhichAnswersAreRead)
+    {
+        CoordinatorHarness fleet({ 20, 2 });
+        for (int i = 0; i < s_workers; ++i)
+            fleet.addWorker(workerId(i));
+        std::size_t sent = 0;
+        std::size_t largest = 0;
+        const auto since = fleet.now;
+        while (sent < s_workers && fleet.now < since + s_lease) {
+            fleet.run(Duration(1));
+            largest = std::max(largest, fleet.polls.size());
+            sent += std::exchange(fleet.polls, {}).size();
+        }
+        EXPECT_EQ(sent, static_cast<std::size_t>(s_workers));
+        EXPECT_LE(largest, 100u) << "a poll takes some 0.2 ms of half a core, and its answer is awaited for 600 ms";
+        EXPECT_LE(fleet.now - since, Duration(100)) << "the parts follow each other at once";
+    }
+
     // Guards against a coordinator without processor time after a takeover: up to a thousand workers did not answer,
     // most of them as they had ended, and each was polled again every 300 ms, which made up half of all polls.
     TEST(PollsOfSilentWorkers, ShareARate)
