Do not let a resignation vouch for earlier owners that may still send orders

Found by reading, while looking for the cause of TWICE: tasks were started again 7.06 s after a takeover, that is when the leases of predecessors count as expired.

An owner that lost its lease may send orders for 4 s, for which its successor waits. If that successor resigned within this time (superseded, or in favour of a larger instance, which follows most takeovers by a small one), the marker let the next one skip the wait, though it is true of the last owner only. A paused owner could then extend leases that counted as expired. Class: a statement about one party taken for all.

Now the marker is written only once no earlier owner may send orders.

Entry.Resignation.DoesNotVouchForAnEarlierOwnerThatMayStillSendOrders failed before.

--- a/include/marigoldlink/Entry/Election.h
+++ b/include/marigoldlink/Entry/Election.h
@@ -37,6 +37,7 @@
     Duration ttl { 1200 }; // of the owner's lease; bounds the time until a dead owner is replaced
     Duration renewal { 350 }; // allows three attempts within a lease
     Duration retryDelay { 150 };
+    Duration ordersAfterLease { 4000 }; // an owner may send orders this long after its lease ended
 };
 
 // State of a won election.
@@ -107,11 +108,12 @@
     {
         if (!m_ownership)
             return;
-        // The marker lets the successor skip the wait for late orders. If the write gets no answer, the lease ends by
-        // itself.
+        // If the write gets no answer, the lease ends by itself.
         StoreWrite call;
         call.expected = { { records::owner, m_ownership->ownerRevision } };
-        call.puts = { { records::resigned, std::to_string(m_ownership->term), StoreLease::None } };
+        // The marker lets the successor skip the wait for late orders, so it must hold for all earlier owners.
+        if (m_ownership->hasPredecessorResigned || m_loop.now() >= m_electedAt + m_limits.ordersAfterLease)
+            call.puts = { { records::resigned, std::to_string(m_ownership->term), StoreLease::None } };
         call.removals = { records::owner };
         const auto lease = m_ownership->lease;
         lose();
@@ -212,6 +214,7 @@
                 return;
             }
             m_isCampaigning = false;
+            m_electedAt = m_loop.now();
             ownership.ownerRevision = result.revision;
             ownership.headRevision = result.revision;
             m_ownership = ownership;
@@ -283,6 +286,7 @@
     std::optional<Endpoint> m_owner;
     Revision m_ownerRevision { noRevision }; // of the latest known owner record
     std::optional<Ownership> m_ownership;
+    TimePoint m_electedAt; // of m_ownership
     TimePoint m_renewedAt;
     Duration m_ttl { 0 }; // of the last lease that was opened
     bool m_isCampaigning { false };
--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -53,9 +53,9 @@
               [this](const auto&) { handOverIfPreferred(); })
         , m_preference(m_settings.processors, {})
         , m_election(
-              loop, platform, m_settings.peers, {}, [this](const Ownership& ownership) { elected(ownership); },
-              [this] { ownershipLost(); }, [this] { ownerChanged(); },
-              [this] { return m_preference.campaignDelay(electionCandidates()); })
+              loop, platform, m_settings.peers, { .ordersAfterLease = m_settings.coordinator.predecessorGracePeriod },
+              [this](const Ownership& ownership) { elected(ownership); }, [this] { ownershipLost(); },
+              [this] { ownerChanged(); }, [this] { return m_preference.campaignDelay(electionCandidates()); })
     {
     }
 
--- /dev/null
+++ b/unittests/Entry/ElectionTest.cpp
@@ -0,0 +1,73 @@
+// Tests of what an owner that resigns tells its successor.
+#include "marigoldlink/Entry/Election.h"
+#include "ScriptedPlatform.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldlink {
+namespace {
+
+    constexpr Duration s_ordersAfterLease { 30 };
+
+    class Resignation : public testing::Test {
+    protected:
+        // Elects the process as the owner of the term after 3. The keys at the head's prefix are as given.
+        void elect(std::vector<StoredValue> head)
+        {
+            m_election.start();
+            m_platform.answer(records::owner, StoreStatus::Ok, Revision(7));
+            ASSERT_EQ(m_platform.leases.size(), 1u);
+            m_platform.leases.front()({ LeaseStatus::Valid, StoreLease(1), Duration(1200) });
+            m_platform.answer(records::head, StoreStatus::Ok, Revision(7), std::move(head));
+            ASSERT_EQ(m_platform.writes.size(), 1u);
+            const auto written = std::move(m_platform.writes.front().callback);
+            m_platform.writes.pop_front();
+            written({ StoreWriteStatus::Done, Revision(8) });
+            ASSERT_TRUE(m_election.isOwner());
+        }
+
+        // Resigns and returns whether the successor may skip the wait for late orders.
+        bool resignsWithMarker()
+        {
+            m_election.resign();
+            EXPECT_EQ(m_platform.writes.size(), 1u);
+            const auto& write = m_platform.writes.back().write;
+            EXPECT_EQ(write.removals, std::vector<std::string> { records::owner });
+            return std::any_of(write.puts.begin(), write.puts.end(),
+                [](const auto& put) { return put.key == records::resigned && put.value == "4"; });
+        }
+
+        static std::vector<StoredValue> head() { return { { records::head, "3:5", Revision(5) } }; }
+
+        EventLoop m_loop;
+        ScriptedPlatform m_platform;
+        Election<ScriptedPlatform> m_election { m_loop, m_platform, Endpoint { "127.0.0.1", 1 },
+            { .ordersAfterLease = s_ordersAfterLease }, [](const Ownership&) {}, [] {}, [] {},
+            [] { return Duration(0); } };
+    };
+
+    // Guards against tasks that run twice: an owner resigned soon after it was elected, and its successor did not wait
+    // for the last orders of the owner before, which was paused and may send them for some seconds.
+    TEST_F(Resignation, DoesNotVouchForAnEarlierOwnerThatMayStillSendOrders)
+    {
+        elect(head());
+        EXPECT_FALSE(resignsWithMarker());
+    }
+
+    TEST_F(Resignation, IsMarkedOnceNoEarlierOwnerMaySendOrders)
+    {
+        elect(head());
+        m_loop.runUntil([this, until = m_loop.now() + s_ordersAfterLease] { return m_loop.now() > until; });
+        EXPECT_TRUE(resignsWithMarker());
+    }
+
+    TEST_F(Resignation, IsMarkedAtOnceIfTheOwnerBeforeResignedToo)
+    {
+        auto values = head();
+        values.push_back({ records::resigned, "3", Revision(6) });
+        elect(std::move(values));
+        EXPECT_TRUE(resignsWithMarker());
+    }
+
+} // namespace
+} // namespace marigoldlink
--- a/unittests/Entry/ScriptedPlatform.h
+++ b/unittests/Entry/ScriptedPlatform.h
@@ -1,4 +1,5 @@
-// Stub platform. The test answers calls of the key-value service; all other calls remain unanswered.
+// Stub platform. The test answers calls of the key-value service, except those of leases that are renewed or ended; all
+// other calls remain unanswered.
 #pragma once
 
 #include "marigoldlink/Entry/FleetPlatform.h"
@@ -20,6 +21,7 @@
         StoreWriteCallback callback;
     };
     std::deque<Write> writes; // unanswered, oldest first
+    std::deque<StoreLeaseCallback> leases; // leases being opened, oldest first
 
     // Answers the oldest read of the prefix. Returns false if there is none.
     bool answer(const std::string& prefix, StoreStatus status, Revision revision, std::vector<StoredValue> values = {})
@@ -46,7 +48,7 @@
     {
         writes.push_back({ write, std::move(callback) });
     }
-    void openLease(Duration, StoreLeaseCallback) { }
+    void openLease(Duration, StoreLeaseCallback callback) { leases.push_back(std::move(callback)); }
     void renewLease(StoreLease, StoreLeaseCallback) { }
     void endLease(StoreLease) { }
 
