Resend the stop of an unanswered service start only while no poll lists it

Cause: the decision to stop was based on one poll, its repetitions on none.

Now each repetition follows a poll that does not list the run, and a poll that lists it withdraws the stop.

Entry.UnansweredServiceStarts.AreNotStoppedAgainOnceTheyTookEffectLate and AreStoppedAgainWhileNoPollListsThem failed before.

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -157,11 +157,12 @@
     void reserveRun(const WorkerId&, const TaskKey&, RunNumber);
     void orderStart(const PlannedStart&, TimePoint now);
     void orderStop(const WorkerId&, const TaskKey&, RunNumber, StopReason, TimePoint now);
-    void sendStop(const Worker&, const TaskKey&, RunNumber, TimePoint now);
+    void sendStop(const Worker&, const TaskKey&, RunNumber, StopReason, TimePoint now);
     // Logs what is known of a service when one of its tasks is about to be stopped.
     void logServiceStop(const Worker&, const TaskKey&, StopReason, TimePoint now) const;
     // Describes when the worker last answered, for the log.
     static std::string lastAnswerText(const Worker&, TimePoint now);
+    void resendStops(TimePoint now);
     void stopRunsOf(const Job&, TimePoint now);
     void handleRunEnd(const WorkerId&, const TaskKey&, RunNumber, RunEnd, const std::string& checkpoint, TimePoint now);
     void stopIncompleteGangs(TimePoint now);
@@ -261,7 +262,14 @@
     std::set<WorkerId> m_workersToRecord; // workers whose record is not yet queued in the journal
     std::set<JobId> m_jobsToQueue; // accepted; record not yet queued in the journal
     std::map<JobId, TimePoint> m_unstoredJobs; // accepted; record not yet stored; refused if not sent by this time
-    std::map<std::pair<WorkerId, TaskKey>, TimePoint> m_stopRetries; // when to resend the stop order
+    struct PendingStop {
+        TimePoint resendAt;
+        StopReason reason {};
+        // The run may not have started. The stop is resent only if a poll does not list the run, and dropped if one
+        // does.
+        bool awaitsPoll { false };
+    };
+    std::map<std::pair<WorkerId, TaskKey>, PendingStop> m_pendingStops;
     std::map<std::pair<WorkerId, TaskKey>, TimePoint> m_confirmedAt; // since when the worker is known to hold the run
     struct UnconfirmedStart {
         RunNumber run {};
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -428,6 +428,28 @@
     }
 }
 
+void Coordinator::resendStops(TimePoint now)
+{
+    for (auto& [key, stop] : m_pendingStops) {
+        if (stop.resendAt > now || stop.awaitsPoll)
+            continue;
+        const auto* task = m_jobs.findTask(key.second);
+        const auto* worker = m_workers.find(key.first);
+        if (worker && worker->runs.contains(key.second))
+            sendStop(*worker, key.second, worker->runs.at(key.second).number, stop.reason, now);
+        else if (!task)
+            stop.resendAt = now + s_idleTickInterval;
+    }
+    std::erase_if(m_pendingStops, [this](const auto& entry) {
+        const auto* worker = m_workers.find(entry.first.first);
+        return !worker || !worker->runs.contains(entry.first.second);
+    });
+    for (const auto& [key, stop] : m_pendingStops) {
+        if (!stop.awaitsPoll)
+            m_nextTick = std::min(m_nextTick, std::max(stop.resendAt, now + Duration(1)));
+    }
+}
+
 void Coordinator::tick(TimePoint now, std::int64_t wallMs)
 {
     m_nextTick = now + s_idleTickInterval;
@@ -444,22 +466,7 @@
         scheduleFullPlacement();
     if (due.nextUnixMs)
         m_nextTick = std::min(m_nextTick, now + Duration(std::max<std::int64_t>(1, *due.nextUnixMs - wallMs)));
-    for (auto& [key, at] : m_stopRetries) {
-        if (at > now)
-            continue;
-        const auto* task = m_jobs.findTask(key.second);
-        const auto* worker = m_workers.find(key.first);
-        if (worker && worker->runs.contains(key.second))
-            sendStop(*worker, key.second, worker->runs.at(key.second).number, now);
-        else if (!task)
-            at = now + s_idleTickInterval;
-    }
-    std::erase_if(m_stopRetries, [this](const auto& entry) {
-        const auto* worker = m_workers.find(entry.first.first);
-        return !worker || !worker->runs.contains(entry.first.second);
-    });
-    for (const auto& [key, at] : m_stopRetries)
-        m_nextTick = std::min(m_nextTick, std::max(at, now + Duration(1)));
+    resendStops(now);
     stopIncompleteGangs(now);
     listInstances(now);
     runWaves(now);
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -231,12 +231,16 @@
         logServiceStop(*worker, key, reason, now);
     if (auto* task = m_jobs.findTask(key); task && task->run && task->run->number == run)
         task->run->phase = ActiveRun::Phase::Stopping;
-    sendStop(*worker, key, run, now);
+    sendStop(*worker, key, run, reason, now);
 }
 
-void Coordinator::sendStop(const Worker& worker, const TaskKey& key, RunNumber run, TimePoint now)
+void Coordinator::sendStop(const Worker& worker, const TaskKey& key, RunNumber run, StopReason reason, TimePoint now)
 {
-    m_stopRetries[{ worker.entry.incarnation.id, key }] = now + s_stopRetryDelay;
+    const auto held = worker.runs.find(key);
+    const auto* task = m_jobs.findTask(key);
+    const bool awaitsPoll = reason == StopReason::StartUnanswered && held != worker.runs.end() && held->second.isService
+        && task && task->run && task->run->number == run;
+    m_pendingStops[{ worker.entry.incarnation.id, key }] = { now + s_stopRetryDelay, reason, awaitsPoll };
     m_orders.emplace_back(StopOrder { worker.entry.incarnation, worker.entry.endpoint, key, run });
 }
 
@@ -276,7 +280,9 @@
     if (answer != StopAnswer::Stopping)
         return; // resent by tick()
     // The run can no longer start. The next poll shows whether it is still shutting down.
-    m_stopRetries[{ incarnation.id, key }] = now + m_settings.maxLease;
+    auto& stop = m_pendingStops[{ incarnation.id, key }];
+    stop.resendAt = now + m_settings.maxLease;
+    stop.awaitsPoll = false;
     m_confirmedAt[{ incarnation.id, key }] = now;
     schedulePoll(*worker, std::min(worker->nextPollAt, now));
 }
@@ -322,7 +328,7 @@
         m_use.subtract(held->second.team, held->second.need);
         m_workers.release(id, key, run);
         m_confirmedAt.erase({ id, key });
-        m_stopRetries.erase({ id, key });
+        m_pendingStops.erase({ id, key });
         auto* task = m_jobs.findTask(key);
         if (task && task->orphanedRuns && !(task->run && task->run->number == run && task->run->worker == id))
             --task->orphanedRuns;
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -301,7 +301,10 @@
     }
     if (!task || !task->run || task->run->number != listed.run)
         return;
-    if (!m_stopRetries.contains({ id, listed.task }))
+    if (const auto stop = m_pendingStops.find({ id, listed.task });
+        stop != m_pendingStops.end() && stop->second.awaitsPoll)
+        m_pendingStops.erase(stop);
+    if (!m_pendingStops.contains({ id, listed.task }))
         task->run->phase = ActiveRun::Phase::Running;
     m_confirmedAt.try_emplace({ id, listed.task }, now);
     task->run->percent = listed.percent;
@@ -319,9 +322,12 @@
     std::erase_if(unconfirmed->second, [now](const auto& start) { return now - start.second.at > s_maxOrderDelay; });
     for (const auto& [key, start] : unconfirmed->second) {
         const auto run = worker.runs.find(key);
-        const bool isOpen = run != worker.runs.end() && run->second.number == start.run
-            && !m_confirmedAt.contains({ id, key }) && !m_stopRetries.contains({ id, key });
-        if (isOpen && start.at <= worker.pollSentAt)
+        const bool isOpen
+            = run != worker.runs.end() && run->second.number == start.run && !m_confirmedAt.contains({ id, key });
+        if (!isOpen || start.at > worker.pollSentAt)
+            continue;
+        const auto stop = m_pendingStops.find({ id, key });
+        if (stop == m_pendingStops.end() || (stop->second.awaitsPoll && stop->second.resendAt <= now))
             orderStop(id, key, start.run, StopReason::StartUnanswered, now);
     }
     if (unconfirmed->second.empty())
--- a/unittests/Entry/RunsTest.cpp
+++ b/unittests/Entry/RunsTest.cpp
@@ -151,6 +151,41 @@
         EXPECT_THAT(fleet.starts, IsEmpty()) << "the start may still take effect";
     }
 
+    // Guards against AVAIL violations (fleet model, seed 305): the stop was lost, the start took effect after it, and
+    // the repeated stop ended the task.
+    TEST_F(UnansweredServiceStarts, AreNotStoppedAgainOnceTheyTookEffectLate)
+    {
+        fleet.answerPolls({ started.at(0) });
+        fleet.run(Duration(5));
+        ASSERT_THAT(fleet.stops, SizeIs(1));
+        fleet.coordinator.stopAnswered(
+            fleet.stops[0].worker, fleet.stops[0].task, fleet.stops[0].run, StopAnswer::Unknown, fleet.now);
+        fleet.stops.clear();
+        fleet.run(Duration(1000));
+        EXPECT_THAT(fleet.stops, IsEmpty()) << "no poll has shown yet whether the task runs";
+        fleet.answerPolls(started);
+        fleet.run(Duration(2000));
+        EXPECT_THAT(fleet.stops, IsEmpty());
+        EXPECT_THAT(fleet.starts, IsEmpty());
+    }
+
+    TEST_F(UnansweredServiceStarts, AreStoppedAgainWhileNoPollListsThem)
+    {
+        fleet.answerPolls({ started.at(0) });
+        fleet.run(Duration(1000));
+        fleet.answerPolls({ started.at(0) });
+        fleet.run(Duration(5));
+        EXPECT_THAT(fleet.stops, SizeIs(2));
+        fleet.coordinator.stopAnswered(
+            fleet.stops[1].worker, fleet.stops[1].task, fleet.stops[1].run, StopAnswer::Stopping, fleet.now);
+        for (int i = 0; i < 3; ++i) {
+            fleet.run(Duration(500));
+            fleet.answerPolls({ started.at(0) });
+        }
+        fleet.settle(); // stores the record of the worker, which answers again
+        EXPECT_THAT(fleet.starts, SizeIs(1)) << "the start cannot take effect any more";
+    }
+
     TEST_F(Runs, TheSameSubmissionAgainIsOneJob)
     {
         begin();
