Model services in the fleet model and check their limit of unavailable tasks

The model had only tasks that end by themselves within a second, so neither a stop of a service task nor the lease of a long run was ever tested. It now plays services of three tasks, of which one may be unavailable, with five times as many lost and late orders, and checks each stop (AVAIL).

A start of an earlier life of a worker is carried out after its restart and grants a lease by the old clock, so the run is given up too early and stopped when it is listed again.

--- a/unittests/Entry/FleetModel.cpp
+++ b/unittests/Entry/FleetModel.cpp
@@ -13,6 +13,7 @@
         deliver();
         for (auto& [id, worker] : m_workers)
             advance(id, worker);
+        updateServices();
         for (auto& node : m_nodes)
             advanceNode(node);
         m_now += step;
@@ -37,13 +38,20 @@
     JobSpec spec;
     spec.id = JobId("job" + std::to_string(m_nextJob++));
     spec.queue = QueueId("checks");
-    for (int i = 0; i < 2; ++i) {
+    const bool isService = m_jobs == ModelJobs::SomeServices && m_services < s_maxServices;
+    for (int i = 0; i < (isService ? 1 : 2); ++i) {
         StepSpec stepSpec;
         stepSpec.tasks = 1 + static_cast<int>(m_choices.below(3));
         stepSpec.need = { taskMilliCores, 1, 0 };
         stepSpec.estimate = Duration(300);
         if (i)
             stepSpec.after.push_back(0);
+        if (isService) {
+            ++m_services;
+            stepSpec.tasks = s_serviceTasks;
+            stepSpec.isService = true;
+            stepSpec.maxUnavailable = s_maxUnavailable;
+        }
         spec.steps.push_back(stepSpec);
     }
     if (m_jobs == ModelJobs::SomeTimed && m_choices.below(2))
@@ -64,6 +72,8 @@
             continue;
         }
         const auto reply = owner->coordinator->jobStatus(id);
+        if (m_specs.at(id).steps[0].isService)
+            continue;
         if (reply.kind != Reply::Kind::State || reply.state == JobState::Pending || reply.state == JobState::Running)
             open.push_back(id);
     }
@@ -243,7 +253,8 @@
         return DeliveryOutcome::Lost;
     if (!m_faults.losesMessages)
         return DeliveryOutcome::Answered;
-    const auto draw = m_choices.below(60);
+    // Services start rarely, so their starts need more lost answers for two of them to meet.
+    const auto draw = m_choices.below(m_jobs == ModelJobs::SomeServices ? 12 : 60);
     if (draw == 1)
         return DeliveryOutcome::AnswerLost;
     if (draw == 2)
--- a/unittests/Entry/FleetModel.h
+++ b/unittests/Entry/FleetModel.h
@@ -17,6 +17,7 @@
 enum class ModelJobs {
     AtOnce,
     SomeTimed, // some jobs have several occurrences, each with a due time
+    SomeServices, // a few jobs are services, of which one task may be unavailable
 };
 
 struct ModelFaults {
@@ -75,6 +76,12 @@
     static constexpr Duration s_occurrenceInterval { 700 }; // between two occurrences; shorter than most of them take
     // A start may be this much before its due time (hosting platform's bounds).
     static constexpr Duration s_earlyStartTolerance { 250 };
+    static constexpr int s_maxServices = 2; // leaves capacity for other jobs
+    static constexpr int s_serviceTasks = 3;
+    static constexpr int s_maxUnavailable = 1;
+    static constexpr Duration s_startup { 300 }; // after which a service task is at full capacity
+    // A service task that does not run for this long is unavailable, whatever the cause (hosting platform's bounds).
+    static constexpr Duration s_notice { 4500 };
     static constexpr Duration ownerTtl { 1200 };
     static constexpr Duration answerTimeout { 600 };
 
@@ -82,6 +89,7 @@
         RunNumber number {};
         TimePoint endsAt;
         bool fails { false };
+        TimePoint startedAt;
     };
 
     struct ModelWorker {
@@ -155,8 +163,11 @@
             // The worker executes the order late, unless it has restarted.
             post(Duration(1000 + static_cast<std::int64_t>(m_choices.below(4000))),
                 [this, worker, startedMs = m_workers.at(worker).startedMs, execute] {
-                    if (m_workers.at(worker).startedMs == startedMs)
-                        execute();
+                    if (m_workers.at(worker).startedMs != startedMs)
+                        return;
+                    m_isOrderLate = true;
+                    execute();
+                    m_isOrderLate = false;
                 });
             break;
         case DeliveryOutcome::Lost:
@@ -170,6 +181,9 @@
 
     std::pair<StartAnswer, std::int64_t> start(const StartOrder& order, std::uint64_t fence);
     void check(const StartOrder& order);
+    // Checks that a stop order does not end a service task at full capacity while too many others are unavailable.
+    void checkStop(const StopOrder& order, const ModelRun& run);
+    void updateServices();
 
     void send(const NodePtr& node, const StopOrder& order);
     void send(const NodePtr& node, const PollOrder& order);
@@ -212,6 +226,10 @@
     std::set<JobId> m_refused;
     std::set<TaskKey> m_acknowledgedDone;
     std::set<TaskKey> m_completed;
+    std::map<TaskKey, TimePoint> m_notRunningSince; // tasks of services
+    std::set<TaskKey> m_stoppedByOrder; // tasks of services that do not run since a stop order ended them
+    int m_services { 0 };
+    bool m_isOrderLate { false }; // while a worker carries out an order that the network held up
     std::map<TaskKey, int> m_failureCounts;
     std::map<TaskKey, int> m_acknowledgedFailures;
     std::uint64_t m_nextJob { 0 };
--- a/unittests/Entry/FleetModelTest.cpp
+++ b/unittests/Entry/FleetModelTest.cpp
@@ -55,6 +55,9 @@
 
 TEST_P(FleetModelTest, KeepsTheRulesWithTimedJobs) { runSeeds(GetParam(), ModelJobs::SomeTimed); }
 
+// Services never end, so jobs that end by themselves share what capacity services leave.
+TEST_P(FleetModelTest, KeepsTheRulesWithServices) { runSeeds(GetParam(), ModelJobs::SomeServices); }
+
 INSTANTIATE_TEST_SUITE_P(Seeds, FleetModelTest, ::testing::Range<std::uint32_t>(0, 12));
 
 } // namespace marigoldlink::testing
--- a/unittests/Entry/FleetModelWorkers.cpp
+++ b/unittests/Entry/FleetModelWorkers.cpp
@@ -36,8 +36,10 @@
     check(order);
     addTrace(order.worker.id.value() + " incarnation " + std::to_string(worker.startedMs) + " starts "
         + order.task.text() + " run " + std::to_string(number(order.run)) + " fence " + std::to_string(fence));
-    worker.running[order.task] = { order.run, m_now + Duration(100 + static_cast<std::int64_t>(m_choices.below(900))),
-        m_choices.below(12) == 1 };
+    const auto length = Duration(100 + static_cast<std::int64_t>(m_choices.below(900)));
+    const bool isService = m_specs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)].isService;
+    worker.running[order.task]
+        = { order.run, isService ? TimePoint::max() : m_now + length, m_choices.below(12) == 1 && !isService, m_now };
     ++m_starts;
     if (static_cast<std::int64_t>(worker.running.size()) * taskMilliCores > workerMilliCores)
         recordViolation("LIMIT: " + order.worker.id.value() + " exceeds its capacity");
@@ -68,6 +70,48 @@
     }
 }
 
+void FleetModel::checkStop(const StopOrder& order, const ModelRun& run)
+{
+    const auto& step = m_specs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)];
+    if (!step.isService || m_stopping.contains({ order.worker.id, order.task }))
+        return;
+    int unavailable = 0;
+    for (int i = 0; i < step.tasks; ++i) {
+        auto other = order.task;
+        other.index = i;
+        const auto since = m_notRunningSince.find(other);
+        if (i != order.task.index && since != m_notRunningSince.end())
+            unavailable += m_stoppedByOrder.contains(other) || m_now - since->second >= s_notice;
+    }
+    // As the hosting platform specifies: orders that were held up do not count.
+    if (!m_isOrderLate && m_now - run.startedAt >= s_startup && unavailable >= step.maxUnavailable)
+        recordViolation("AVAIL: " + order.task.text() + " is stopped while " + std::to_string(unavailable)
+            + " others are unavailable");
+    m_stoppedByOrder.insert(order.task);
+}
+
+void FleetModel::updateServices()
+{
+    for (const auto& [id, spec] : m_specs) {
+        if (!spec.steps[0].isService)
+            continue;
+        for (int i = 0; i < spec.steps[0].tasks; ++i) {
+            const TaskKey key { id, 0, 0, i };
+            const bool isRunning = std::any_of(m_workers.begin(), m_workers.end(),
+                [&key](const auto& entry) { return entry.second.running.contains(key); });
+            if (isRunning) {
+                m_notRunningSince.erase(key);
+                if (!std::any_of(m_workers.begin(), m_workers.end(), [&](const auto& entry) {
+                        return m_stopping.contains({ entry.first, key });
+                    }))
+                    m_stoppedByOrder.erase(key);
+            } else {
+                m_notRunningSince.try_emplace(key, m_now);
+            }
+        }
+    }
+}
+
 void FleetModel::send(const NodePtr& node, const StopOrder& order)
 {
     const auto fence = node->term.fence;
@@ -82,6 +126,7 @@
             highest = std::max(highest, order.run);
             const auto running = worker.running.find(order.task);
             if (running != worker.running.end() && running->second.number == order.run) {
+                checkStop(order, running->second);
                 running->second.endsAt = m_now + Duration(200); // time to shut down
                 running->second.fails = false;
                 m_stopping.insert({ order.worker.id, order.task });
