--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -348,8 +348,12 @@
     const bool wasActive = job && job->isActive();
     m_jobs.runEnded(key, run, how, checkpoint, now);
     // An earlier run that was presumed lost has completed after all, so the later run is superfluous.
-    if (const auto* task = m_jobs.findTask(key); task && task->isDone && task->run && task->run->number != run)
+    if (const auto* task = m_jobs.findTask(key); task && task->isDone && task->run && task->run->number != run) {
+        log("repeated_task", key.text(),
+            "run " + std::to_string(number(run)) + " on " + id.value() + " ended: " + name(how) + ", but run "
+                + std::to_string(number(task->run->number)) + " was started on " + task->run->worker.value());
         orderStop(task->run->worker, key, task->run->number, StopReason::NotCurrent, now);
+    }
     if (how != RunEnd::Done)
         log("task", key.text(), "run " + std::to_string(number(run)) + " on " + id.value() + " ended: " + name(how));
     if (const auto* task = m_jobs.findTask(key); task && task->notBefore > now)
