Name tasks whose ends are not stored in the record of a silent worker

Each start came 7.06 s after a takeover, when the last unsealed record of a service no longer held back its restored tasks.

Cause: a worker lists the end of a run, the coordinator forgets the run and queues the job's progress. If the coordinator ends in between, the successor finds neither the end nor the run, and starts the task again while the worker still lists the end. Class: a record that relies on another one overtakes it in a queue with priorities.

Now the sealed record also names tasks whose ends the worker has listed and whose progress is not stored.

Takeover.TheRecordOfASilentWorkerNamesTasksWhoseEndsAreNotStored failed before: 29 tasks were started again at once.

--- a/include/marigoldlink/Coordination/WorkerTable.h
+++ b/include/marigoldlink/Coordination/WorkerTable.h
@@ -49,7 +49,7 @@
     std::int64_t acknowledged { 0 };
     struct PendingEnd {
         std::int64_t number { 0 };
-        JobId job;
+        TaskKey task;
         std::uint64_t jobVersion { 0 }; // version of the job that has to be stored first; 0: none
     };
     std::deque<PendingEnd> pendingEnds; // by number
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -263,6 +263,9 @@
             record.onlyRuns.emplace();
             for (const auto& [task, run] : worker->runs)
                 record.onlyRuns->insert(task);
+            // This record may be stored before the progress that results from the ends.
+            for (const auto& end : worker->pendingEnds)
+                record.onlyRuns->insert(end.task);
         }
         m_journal.put(records::worker(id), encodeWorker(record), RecordClass::Urgent);
     }
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -266,7 +266,7 @@
         handleRunEnd(id, end.task, end.run, end.how, end.checkpoint, now);
         const auto* job = m_jobs.find(end.task.job);
         const auto version = job && job->isDirty() ? job->version : 0;
-        worker.pendingEnds.push_back({ end.number, end.task.job, version });
+        worker.pendingEnds.push_back({ end.number, end.task, version });
         m_withPendingEnds.insert(id);
     }
 }
@@ -355,7 +355,7 @@
 {
     while (!worker.pendingEnds.empty()) {
         const auto& end = worker.pendingEnds.front();
-        const auto* job = m_jobs.find(end.job);
+        const auto* job = m_jobs.find(end.task.job);
         if (job && end.jobVersion > job->storedVersion)
             return;
         worker.acknowledged = end.number;
--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -241,6 +241,85 @@
         EXPECT_TRUE(fleet.coordinator.workers().find(WorkerId("w1"))->isRecordStored);
     }
 
+    // Applies the batch in flight to the records and confirms it.
+    void storeBatch(CoordinatorHarness& fleet, std::map<std::string, std::string>& stored)
+    {
+        if (!fleet.batch)
+            return;
+        for (const auto& [key, value] : fleet.batch->puts)
+            stored[key] = value;
+        for (const auto& key : fleet.batch->removals)
+            stored.erase(key);
+        fleet.answerJournal();
+    }
+
+    void restore(CoordinatorHarness& fleet, const std::map<std::string, std::string>& stored)
+    {
+        for (const auto& [key, value] : stored) {
+            if (key.starts_with(records::jobPrefix)) {
+                const JobId id(key.substr(records::jobPrefix.size()));
+                const auto progress = stored.find(records::progress(id));
+                fleet.coordinator.restoreJob(decodeJob(id, value),
+                    progress == stored.end() ? JobProgress {} : decodeProgress(id, progress->second), fleet.now);
+            } else if (key.starts_with(records::workerPrefix)) {
+                const auto record = decodeWorker(WorkerId(key.substr(records::workerPrefix.size())), value);
+                fleet.coordinator.restoreWorker(record.entry, record.onlyRuns, fleet.now);
+            }
+        }
+    }
+
+    // Guards against TWICE violations: a sealed record was stored before the ends that its worker had listed, since it
+    // takes precedence in the journal. It did not name the ended tasks, so a successor that could not reach the worker
+    // started them again.
+    TEST(Takeover, TheRecordOfASilentWorkerNamesTasksWhoseEndsAreNotStored)
+    {
+        constexpr int jobs = 3 * Journal::maxRecords;
+        std::map<std::string, std::string> stored;
+        CoordinatorHarness first;
+        first.addWorker("w1", jobs * 1000);
+        first.run(Duration(5));
+        first.answerPolls();
+        first.coordinator.finishRestore(first.now);
+        first.run(Duration(60));
+        storeBatch(first, stored);
+        std::vector<ListedEnd> ends;
+        for (int i = 0; i < jobs; ++i) {
+            const auto id = "job" + std::to_string(i);
+            first.coordinator.submit(CallToken(i), CoordinatorHarness::job(id), first.now);
+            ends.push_back({ i + 1, CoordinatorHarness::task(id), RunNumber(1), RunEnd::Done, "" });
+        }
+        while (first.starts.size() < jobs) {
+            first.run(Duration(10));
+            storeBatch(first, stored);
+        }
+        first.answerStarts();
+        first.answerPolls({}, ends);
+        first.run(Duration(100));
+        first.failPolls("w1");
+        first.run(Duration(45));
+        const auto hasSealedRecord = [&stored] {
+            return decodeWorker(WorkerId("w1"), stored.at(records::worker(WorkerId("w1")))).onlyRuns.has_value();
+        };
+        while (!hasSealedRecord() && first.batch) {
+            storeBatch(first, stored);
+            first.run(Duration(1));
+        }
+        ASSERT_TRUE(hasSealedRecord());
+        ASSERT_TRUE(first.batch) << "some ends are not stored when the first coordinator ends";
+
+        CoordinatorHarness second({ 20, 2 });
+        second.addWorker("w2", jobs * 1000);
+        restore(second, stored);
+        second.takeOverWithout("w1", "w2");
+        EXPECT_EQ(second.starts.size(), 0u);
+        // The worker answers and lists its ends again.
+        second.run(Duration(2100));
+        second.answerPolls({}, ends, "w1");
+        second.run(Duration(100));
+        EXPECT_EQ(second.starts.size(), 0u);
+        EXPECT_EQ(second.coordinator.jobs().activeJobs().size(), 0u);
+    }
+
     // Registry entries expire during an outage of the store. Guards against a successor that does not know of a worker
     // that is still running a task.
     TEST(Takeover, RecordedWorkerOutsideTheRegistryStillBlocksItsTasks)
