Find jobs and workers by hash, keep the confirmation with the run

Profile of the saturated coordinator there (perf, two processes, 20 s): look-ups in maps with string keys 25%, the memory allocator 18%, pool sizing 10%, placement 10%, timers of connection pools 7%, waves 5%, most of it a search of all waves for each instance.

--- a/include/marigoldlink/Coordination/JobTable.h
+++ b/include/marigoldlink/Coordination/JobTable.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <vector>
+#include <unordered_map>
 
 namespace marigoldlink {
 
@@ -167,6 +168,7 @@
     void finishOccurrence(Job&, int occurrence, TimePoint now);
 
     std::map<JobId, std::unique_ptr<Job>> m_jobs;
+    std::unordered_map<JobId, Job*> m_jobsById; // invariant: exactly the jobs of m_jobs
     std::map<JobId, Job*> m_active; // invariant: exactly the jobs that are neither ended nor cancelled
     // Invariant: subsets of m_active. For the first three see schedulableJobs(), gangJobs() and labelledJobs(); m_timed
     // holds the jobs with a schedule.
--- a/include/marigoldlink/Coordination/MaintenancePlanner.h
+++ b/include/marigoldlink/Coordination/MaintenancePlanner.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace marigoldlink {
@@ -64,8 +65,8 @@
     const std::set<std::string>& reserved() const { return m_reserved; }
     bool isUnderMaintenance(const std::string& instance) const { return m_underMaintenance.contains(instance); }
     bool hasWork() const;
-    // Whether some wave still has to maintain the instance.
-    bool isDue(const std::string& instance) const;
+    // The instances that some wave still has to maintain.
+    std::unordered_set<std::string> dueInstances() const;
 
     // Returns the waves whose progress or completion has changed since the last call.
     struct Change {
--- a/include/marigoldlink/Coordination/WorkerTable.h
+++ b/include/marigoldlink/Coordination/WorkerTable.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 
 namespace marigoldlink {
 
@@ -21,6 +22,7 @@
     Resources need; // counted against the team's limit
     TeamId team;
     bool isService { false };
+    std::optional<TimePoint> confirmedAt; // since when the worker is known to hold the run
 };
 
 // What this coordinator knows about one incarnation of a worker.
@@ -106,9 +108,12 @@
     void startIncarnation(Worker&, std::int64_t startedUnixMs);
 
 private:
+    // Returns the worker, which is added if it is not known.
+    Worker& findOrAdd(const WorkerId&);
     void setEntry(Worker&, const WorkerEntry&);
 
     std::map<WorkerId, Worker> m_workers;
+    std::unordered_map<WorkerId, Worker*> m_workersById; // invariant: exactly the workers of m_workers
     // Invariant: contains each of m_workers exactly once.
     std::map<ServiceId, std::map<WorkerId, const Worker*>> m_byService;
 };
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -215,7 +215,7 @@
     using LabelledNeed = std::map<std::string, Resources>;
     // Largest capacity among the instances with a label. The maximum over all instances is under the empty label.
     using FleetBounds = std::map<std::string, Resources>;
-    FleetBounds fleetBounds() const;
+    void updateFleetBounds();
     LabelledNeed occurrenceNeed(const Job&, const Occurrence&, const FleetBounds&) const;
     bool followsOpenSteps(const Job&, const Occurrence&, const StepSpec&) const;
     std::map<ServiceId, PoolDemand> poolDemands(TimePoint now) const;
@@ -270,7 +270,6 @@
         bool awaitsPoll { false };
     };
     std::map<std::pair<WorkerId, TaskKey>, PendingStop> m_pendingStops;
-    std::map<std::pair<WorkerId, TaskKey>, TimePoint> m_confirmedAt; // since when the worker is known to hold the run
     struct UnconfirmedStart {
         RunNumber run {};
         TimePoint at;
@@ -288,6 +287,7 @@
     TimePoint m_nextMissingCheck;
 
     std::map<std::string, FleetInstance> m_instances;
+    FleetBounds m_fleetBounds; // of m_instances
     MaintenancePlanner m_waves;
     bool m_areWorkersCordoned { false }; // some workers may be cordoned for a wave
     TimePoint m_nextList;
--- a/lib/Coordination/JobTable.cpp
+++ b/lib/Coordination/JobTable.cpp
@@ -51,6 +51,7 @@
     const auto id = added.spec.id;
     removeFromIndices(id);
     m_jobs[id] = std::move(job);
+    m_jobsById[id] = &added;
     m_active[id] = &added;
     for (const auto& step : added.spec.steps) {
         if (step.isGang)
@@ -135,8 +136,8 @@
 
 Job* JobTable::find(const JobId& id)
 {
-    const auto found = m_jobs.find(id);
-    return found == m_jobs.end() ? nullptr : found->second.get();
+    const auto found = m_jobsById.find(id);
+    return found == m_jobsById.end() ? nullptr : found->second;
 }
 
 const Job* JobTable::find(const JobId& id) const { return const_cast<JobTable*>(this)->find(id); }
@@ -161,6 +162,7 @@
 void JobTable::remove(const JobId& id)
 {
     removeFromIndices(id);
+    m_jobsById.erase(id);
     m_jobs.erase(id);
     m_dirty.erase(id);
     m_firstRun.erase(id);
--- a/lib/Coordination/MaintenancePlanner.cpp
+++ b/lib/Coordination/MaintenancePlanner.cpp
@@ -162,14 +162,16 @@
         [](const auto& entry) { return entry.second.isRequested && !entry.second.isComplete; });
 }
 
-bool MaintenancePlanner::isDue(const std::string& instance) const
+std::unordered_set<std::string> MaintenancePlanner::dueInstances() const
 {
-    return std::any_of(m_waves.begin(), m_waves.end(), [&instance](const auto& entry) {
-        const auto& state = entry.second;
-        return state.isRequested && !state.isComplete && !state.finished.contains(instance)
-            && std::find(state.wave.instances.begin(), state.wave.instances.end(), instance)
-            != state.wave.instances.end();
-    });
+    std::unordered_set<std::string> due;
+    for (const auto& [id, state] : m_waves) {
+        if (!state.isRequested || state.isComplete)
+            continue;
+        std::copy_if(state.wave.instances.begin(), state.wave.instances.end(), std::inserter(due, due.end()),
+            [&state](const std::string& instance) { return !state.finished.contains(instance); });
+    }
+    return due;
 }
 
 std::vector<MaintenancePlanner::Change> MaintenancePlanner::takeChanges()
--- a/lib/Coordination/WorkerTable.cpp
+++ b/lib/Coordination/WorkerTable.cpp
@@ -7,8 +7,15 @@
 
 Worker* WorkerTable::find(const WorkerId& id)
 {
-    const auto found = m_workers.find(id);
-    return found == m_workers.end() ? nullptr : &found->second;
+    const auto found = m_workersById.find(id);
+    return found == m_workersById.end() ? nullptr : found->second;
+}
+
+Worker& WorkerTable::findOrAdd(const WorkerId& id)
+{
+    auto& worker = m_workers[id];
+    m_workersById[id] = &worker;
+    return worker;
 }
 
 const Worker* WorkerTable::find(const WorkerId& id) const { return const_cast<WorkerTable*>(this)->find(id); }
@@ -33,7 +40,7 @@
 
 void WorkerTable::entryChanged(const WorkerEntry& entry)
 {
-    auto& worker = m_workers[entry.incarnation.id];
+    auto& worker = findOrAdd(entry.incarnation.id);
     const auto knownStartMs = worker.entry.incarnation.startedUnixMs;
     if (knownStartMs && entry.incarnation.startedUnixMs && entry.incarnation.startedUnixMs < knownStartMs)
         return;
@@ -71,12 +78,13 @@
 {
     if (const auto* worker = find(id))
         m_byService[worker->entry.service].erase(id);
+    m_workersById.erase(id);
     m_workers.erase(id);
 }
 
 void WorkerTable::restore(const WorkerEntry& entry, std::optional<std::set<TaskKey>> onlyRuns, TimePoint now)
 {
-    auto& worker = m_workers[entry.incarnation.id];
+    auto& worker = findOrAdd(entry.incarnation.id);
     worker.isRecordStored = true;
     worker.isSealed = onlyRuns.has_value();
     worker.mayHavePredecessorRuns = !worker.hasSeenFence && (!onlyRuns || !onlyRuns->empty());
--- a/lib/Entry/CoordinatorPools.cpp
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -51,15 +51,14 @@
     return now;
 }
 
-Coordinator::FleetBounds Coordinator::fleetBounds() const
+void Coordinator::updateFleetBounds()
 {
-    FleetBounds bounds;
+    m_fleetBounds.clear();
     for (const auto& [id, instance] : m_instances) {
-        bounds[{}] = elementwiseMax(bounds[{}], instance.capacity);
+        m_fleetBounds[{}] = elementwiseMax(m_fleetBounds[{}], instance.capacity);
         for (const auto& label : instance.labels)
-            bounds[label] = elementwiseMax(bounds[label], instance.capacity);
+            m_fleetBounds[label] = elementwiseMax(m_fleetBounds[label], instance.capacity);
     }
-    return bounds;
 }
 
 bool Coordinator::followsOpenSteps(const Job& job, const Occurrence& occurrence, const StepSpec& spec) const
@@ -73,7 +72,7 @@
 std::map<ServiceId, PoolDemand> Coordinator::poolDemands(TimePoint now) const
 {
     std::map<ServiceId, PoolDemand> demands;
-    const auto bounds = fleetBounds();
+    const auto& bounds = m_fleetBounds;
     for (const auto& [id, pool] : m_operators.config.pools)
         demands[id];
     for (const auto& [id, active] : m_jobs.activeJobs()) {
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -133,10 +133,10 @@
 void Coordinator::reserveRun(const WorkerId& id, const TaskKey& key, RunNumber run)
 {
     const auto* job = m_jobs.find(key.job);
-    ReservedRun held { run, {}, {}, {}, false };
+    ReservedRun held { run, {}, {}, {}, false, std::nullopt };
     if (job && key.step < static_cast<int>(job->spec.steps.size())) {
         const auto& step = job->stepSpec(key);
-        held = { run, step.reserved(), step.need, job->spec.team, step.isService };
+        held = { run, step.reserved(), step.need, job->spec.team, step.isService, std::nullopt };
     } else {
         // The job is unknown, so the run is assumed to use all remaining capacity.
         held.reserved = m_workers.find(id)->freeCapacity();
@@ -176,7 +176,7 @@
         return;
     switch (answer) {
     case StartAnswer::Started: {
-        m_confirmedAt[{ incarnation.id, key }] = now;
+        worker->runs.at(key).confirmedAt = now;
         auto* task = m_jobs.findTask(key);
         if (task && task->run && task->run->number == run && task->run->phase == ActiveRun::Phase::Ordered)
             task->run->phase = ActiveRun::Phase::Running;
@@ -283,7 +283,7 @@
     auto& stop = m_pendingStops[{ incarnation.id, key }];
     stop.resendAt = now + m_settings.maxLease;
     stop.awaitsPoll = false;
-    m_confirmedAt[{ incarnation.id, key }] = now;
+    found->second.confirmedAt = now;
     schedulePoll(*worker, std::min(worker->nextPollAt, now));
 }
 
@@ -327,7 +327,6 @@
     if (worker && held != worker->runs.end() && held->second.number == run) {
         m_use.subtract(held->second.team, held->second.need);
         m_workers.release(id, key, run);
-        m_confirmedAt.erase({ id, key });
         m_pendingStops.erase({ id, key });
         auto* task = m_jobs.findTask(key);
         if (task && task->orphanedRuns && !(task->run && task->run->number == run && task->run->worker == id))
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -36,6 +36,7 @@
         const auto id = instance.id;
         m_instances.emplace(id, std::move(instance));
     }
+    updateFleetBounds();
     resolveEndingWorkers(now);
     removeReplacedWorkers(now);
 }
@@ -184,12 +185,13 @@
         worker.isCordoned = false;
         worker.hasPendingMaintenance = false;
     }
+    const auto due = m_waves.dueInstances();
     for (const auto& [id, instance] : m_instances) {
         auto* worker = m_workers.find(instance.worker);
         if (!worker)
             continue;
         worker->isCordoned = m_waves.reserved().contains(id) || m_waves.isUnderMaintenance(id);
-        worker->hasPendingMaintenance = m_waves.isDue(id);
+        worker->hasPendingMaintenance = due.contains(id);
         if (m_waves.reserved().contains(id) && !m_waves.isUnderMaintenance(id))
             drainServices(*worker, now);
     }
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -79,7 +79,7 @@
     log("worker", id.value(), "restarted; " + std::to_string(worker.runs.size()) + " runs lost");
     auto unconfirmed = m_unconfirmedStarts[id];
     for (const auto& [key, run] : std::map(worker.runs)) {
-        if (!m_confirmedAt.contains({ id, key }))
+        if (!run.confirmedAt)
             unconfirmed[key] = { run.number, now };
         handleRunEnd(id, key, run.number, RunEnd::Lost, {}, now);
     }
@@ -290,7 +290,7 @@
         if (held != worker.runs.end())
             return;
         reserveRun(id, listed.task, listed.run);
-        m_confirmedAt[{ id, listed.task }] = now;
+        worker.runs.at(listed.task).confirmedAt = now;
         if (!m_jobs.mayAdopt(listed.task, listed.run)) {
             if (task)
                 ++task->orphanedRuns;
@@ -306,7 +306,8 @@
         m_pendingStops.erase(stop);
     if (!m_pendingStops.contains({ id, listed.task }))
         task->run->phase = ActiveRun::Phase::Running;
-    m_confirmedAt.try_emplace({ id, listed.task }, now);
+    if (auto& confirmedAt = worker.runs.at(listed.task).confirmedAt; !confirmedAt)
+        confirmedAt = now;
     task->run->percent = listed.percent;
     task->run->load = listed.load;
     if (!listed.checkpoint.empty())
@@ -323,7 +324,7 @@
     for (const auto& [key, start] : unconfirmed->second) {
         const auto run = worker.runs.find(key);
         const bool isOpen
-            = run != worker.runs.end() && run->second.number == start.run && !m_confirmedAt.contains({ id, key });
+            = run != worker.runs.end() && run->second.number == start.run && !run->second.confirmedAt;
         if (!isOpen || start.at > worker.pollSentAt)
             continue;
         const auto stop = m_pendingStops.find({ id, key });
@@ -341,9 +342,7 @@
         listed.emplace(run.task, run.run);
     std::vector<std::pair<TaskKey, RunNumber>> gone;
     for (const auto& [key, run] : worker.runs) {
-        const auto confirmed = m_confirmedAt.find({ worker.entry.incarnation.id, key });
-        if (!listed.contains({ key, run.number }) && confirmed != m_confirmedAt.end()
-            && confirmed->second < worker.pollSentAt)
+        if (run.confirmedAt && *run.confirmedAt < worker.pollSentAt && !listed.contains({ key, run.number }))
             gone.emplace_back(key, run.number);
     }
     const auto id = worker.entry.incarnation.id;
