Expect orders to an earlier incarnation of a worker to extend its lease

Cause: an order names only the worker's id, so one that was in flight or held up while the worker restarted is carried out by the next incarnation. Its deadline is a time on the earlier clock and may extend the lease to its maximum, beyond what the coordinator counts on. It gives runs up while they go on: the task starts again, or the run is stopped when it is listed again. Class: a value that refers to one incarnation applied to another.

Now the lease of an incarnation whose predecessor left orders without an answer counts as possibly extended for as long as such orders may arrive.

A successor that has not reached the worker itself is not covered and listed as open.

--- a/include/marigoldlink/Coordination/LeaseClock.h
+++ b/include/marigoldlink/Coordination/LeaseClock.h
@@ -36,22 +36,36 @@
         return deadline;
     }
 
+    // Orders to an earlier incarnation of the worker may arrive until the given time. Their deadlines refer to another
+    // clock, so each of them may extend the lease to its maximum.
+    void expectOrdersToEarlierIncarnation(TimePoint until, Duration maxLease)
+    {
+        m_minExpiry = std::max(m_minExpiry, until + longestLocalTime(static_cast<double>(maxLease.count())));
+    }
+
     // Local time from which on every granted deadline has passed on the worker's clock.
     TimePoint expiresBy() const
     {
-        const auto left = static_cast<double>(m_latestDeadlineMs - m_readingMs) / minClockRate;
-        return m_readAt + Duration(static_cast<std::int64_t>(std::max(0.0, left)) + 1);
+        const auto left = static_cast<double>(m_latestDeadlineMs - m_readingMs);
+        return std::max(m_minExpiry, m_readAt + longestLocalTime(left));
     }
 
     // Resets the state for a new incarnation of the worker: its clock restarts, and no earlier deadline applies.
     void reset() { *this = {}; }
 
 private:
+    // Local time in which the worker's clock certainly advances by the given time.
+    static Duration longestLocalTime(double workerMs)
+    {
+        return Duration(static_cast<std::int64_t>(std::max(0.0, workerMs) / minClockRate) + 1);
+    }
+
     std::int64_t m_readingMs { 0 };
     TimePoint m_readAt;
     // Invariant: never decreases within one incarnation of the worker.
     std::int64_t m_latestDeadlineMs { 0 };
     bool m_hasReading { false };
+    TimePoint m_minExpiry; // by orders to earlier incarnations
 };
 
 } // namespace marigoldlink
--- a/include/marigoldlink/Coordination/WorkerTable.h
+++ b/include/marigoldlink/Coordination/WorkerTable.h
@@ -40,6 +40,7 @@
     TimePoint fencedAt;
     bool isAnswering { false };
     TimePoint lastAnswer;
+    std::optional<TimePoint> lastUnansweredOrder; // when the last start or poll without an answer was given up
 
     // Polling of its runs and ends.
     bool isPollInFlight { false };
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -190,6 +190,7 @@
     case StartAnswer::Unknown:
         m_unconfirmedStarts[incarnation.id][key] = { run, now };
         stoppedAnswering(*worker);
+        worker->lastUnansweredOrder = now;
         worker->recentFailures += 1;
         schedulePoll(*worker, now);
         // A stop would end a service task that did start, whatever the number of others that are unavailable.
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -78,12 +78,20 @@
     const auto id = worker.entry.incarnation.id;
     log("worker", id.value(), "restarted; " + std::to_string(worker.runs.size()) + " runs lost");
     auto unconfirmed = m_unconfirmedStarts[id];
+    auto lastUnanswered = worker.lastUnansweredOrder;
+    if (worker.isPollInFlight)
+        lastUnanswered = now;
     for (const auto& [key, run] : std::map(worker.runs)) {
-        if (!run.confirmedAt)
+        if (!run.confirmedAt) {
             unconfirmed[key] = { run.number, now };
+            lastUnanswered = now;
+        }
         handleRunEnd(id, key, run.number, RunEnd::Lost, {}, now);
     }
     m_workers.startIncarnation(worker, startedUnixMs);
+    worker.lastUnansweredOrder = lastUnanswered;
+    if (lastUnanswered && now - *lastUnanswered < s_maxOrderDelay)
+        worker.lease.expectOrdersToEarlierIncarnation(*lastUnanswered + s_maxOrderDelay, m_settings.maxLease);
     schedulePoll(worker, now);
     // A start order without an answer may still reach the restarted worker. The order's deadline refers to the clock of
     // the previous incarnation, so it does not prevent the start.
@@ -194,6 +202,7 @@
                 answer.status == PollAnswer::Status::OtherIncarnation ? "another worker is at its address"
                                                                       : "does not answer");
         stoppedAnswering(*worker);
+        worker->lastUnansweredOrder = now;
         schedulePoll(*worker, now + failedPollDelay(*worker));
         return;
     }
--- a/unittests/Entry/RunsTest.cpp
+++ b/unittests/Entry/RunsTest.cpp
@@ -231,5 +231,46 @@
         EXPECT_NE(fleet.starts[0].worker.id.value(), worker);
     }
 
+    // Guards against TWICE and AVAIL violations (fleet model, seeds 31, 59 and 1010): an order to an earlier incarnation
+    // of a worker arrived after a restart. Its deadline, by the clock of that incarnation, extended the lease beyond what
+    // the coordinator had granted, so runs were given up while they went on.
+    TEST(RestartedWorkers, AnOrderToAnEarlierIncarnationMayExtendTheLease)
+    {
+        const CoordinatorSettings settings;
+        CoordinatorHarness fleet;
+        fleet.begin({ "w1" });
+        fleet.accept(CoordinatorHarness::job("a"));
+        fleet.run(Duration(5));
+        ASSERT_EQ(fleet.starts.size(), 1u); // has no answer before the worker restarts
+        fleet.starts.clear();
+        fleet.addWorker("w1", 8000, 2);
+        const auto restartedAt = fleet.now;
+        fleet.failPolls("w1");
+        fleet.run(Duration(400));
+        fleet.answerPolls();
+        fleet.settle();
+        fleet.accept(CoordinatorHarness::job("b"));
+        fleet.run(Duration(5));
+        ASSERT_EQ(fleet.starts.size(), 1u);
+        ASSERT_EQ(fleet.starts[0].task, CoordinatorHarness::task("b"));
+        fleet.answerStarts();
+        fleet.addWorker("w2");
+        fleet.settle();
+        // The worker does not answer any more.
+        const auto isStartedAgain = [&fleet] {
+            return std::any_of(fleet.starts.begin(), fleet.starts.end(),
+                [](const StartOrder& start) { return start.task == CoordinatorHarness::task("b"); });
+        };
+        while (!isStartedAgain() && fleet.now < restartedAt + Duration(60000)) {
+            fleet.failPolls("w1");
+            fleet.answerPolls({}, {}, "w2");
+            fleet.run(Duration(50));
+            fleet.answerJournal();
+        }
+        ASSERT_TRUE(isStartedAgain());
+        EXPECT_GE(fleet.now - restartedAt, settings.maxLease);
+        EXPECT_LE(fleet.now - restartedAt, Duration(15000) + settings.maxLease * 2) << "orders are delayed by 15 s at most";
+    }
+
 } // namespace
 } // namespace marigoldlink
