Plan pools and waves less often while the event loop lags

Its loop took 35 ms an iteration, so starts waited behind them. Class: periodic optional work that does not yield under overload.

Now the interval grows with the lag of the loop, from 100 to at most 400 ms. PlanSchedule.PassesComeLessOftenWhileTheLoopLags fails with a fixed interval.

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -9,6 +9,7 @@
 #include "marigoldlink/Coordination/JobTable.h"
 #include "marigoldlink/Coordination/MaintenancePlanner.h"
 #include "marigoldlink/Coordination/Placement.h"
+#include "marigoldlink/Coordination/PlanSchedule.h"
 #include "marigoldlink/Coordination/PoolSizer.h"
 #include "marigoldlink/Coordination/WorkerTable.h"
 #include "marigoldlink/Entry/Measurements.h"
@@ -241,6 +242,8 @@
     // Number of tasks of a step for which isAtFullCapacity() is false.
     int unavailableTasks(const Occurrence&, int step, TimePoint now) const;
 
+    static constexpr Duration s_planInterval { 100 }; // of the sizes of pools and of waves
+
     CoordinatorSettings m_settings;
     Term m_term;
     Journal m_journal;
@@ -311,7 +314,7 @@
         m_excludedPools; // pools whose kind does not fit the instance, by instance
     std::map<std::string, TimePoint> m_moveNotBefore; // back-off of instances whose move was refused
     std::map<std::string, TimePoint> m_idleSince; // instances without runs
-    TimePoint m_nextSizing;
+    PlanSchedule m_sizingSchedule { s_planInterval };
     TimePoint m_nextPoolReport;
     // Journal writes since the last report.
     struct JournalStats {
@@ -325,7 +328,7 @@
     Duration m_maxSizingDelay { 0 };
 
     TimePoint m_nextFlush;
-    TimePoint m_nextWavePass;
+    PlanSchedule m_waveSchedule { s_planInterval };
     TimePoint m_nextJobRemoval;
     TimePoint m_nextTick;
     TimePoint m_nextPlacementAt { TimePoint::max() };
--- a/lib/Entry/CoordinatorPools.cpp
+++ b/lib/Entry/CoordinatorPools.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-    constexpr Duration s_sizingInterval { 100 };
     constexpr Duration s_reportPeriod { 1000 };
     // The list of instances may lag behind the end of an accepted move by this time.
     constexpr Duration s_listLag { 1500 };
@@ -170,12 +169,11 @@
 
 void Coordinator::sizePools(TimePoint now)
 {
-    m_nextTick = std::min(m_nextTick, std::max(m_nextSizing, now + Duration(1)));
-    if (m_nextSizing > now)
+    const bool isDue = m_sizingSchedule.takeDue(now);
+    m_nextTick = std::min(m_nextTick, std::max(m_sizingSchedule.next(), now + Duration(1)));
+    if (!isDue)
         return;
-    if (m_nextSizing != TimePoint())
-        m_maxSizingDelay = std::max(m_maxSizingDelay, now - m_nextSizing);
-    m_nextSizing = now + s_sizingInterval;
+    m_maxSizingDelay = std::max(m_maxSizingDelay, m_sizingSchedule.lag());
     if (!mayChangeInstances(now) || m_instances.empty())
         return;
     for (const auto& [id, move] : std::map(m_moves)) {
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-    constexpr Duration s_waveInterval { 100 };
     // Percentage reported by a service task at full capacity. A lower value means that it is starting or throttled.
     constexpr int s_fullCapacityPercent = 100;
     // Maximum age of a poll answer that is relied upon. A busy worker answers a poll within 1 s (s_busyPollWait).
@@ -149,10 +148,10 @@
         return;
     }
     m_areWorkersCordoned = true;
-    m_nextTick = std::min(m_nextTick, std::max(m_nextWavePass, now + Duration(1)));
-    if (m_nextWavePass > now)
+    const bool isDue = m_waveSchedule.takeDue(now);
+    m_nextTick = std::min(m_nextTick, std::max(m_waveSchedule.next(), now + Duration(1)));
+    if (!isDue)
         return;
-    m_nextWavePass = now + s_waveInterval;
     // A predecessor may have sent calls that it did not record. After this wait the instances concerned are
     // back. No calls are sent either while there may be a successor, which does not expect any.
     const bool isSettled = m_term.number <= 1 || now > m_startedAt + m_settings.maintenanceTime + s_settleMargin;
