--- a/include/marigoldlink/Coordination/JobTable.h
+++ b/include/marigoldlink/Coordination/JobTable.h
@@ -11,8 +11,8 @@
 #include <memory>
 #include <optional>
 #include <set>
-#include <vector>
 #include <unordered_map>
+#include <vector>
 
 namespace marigoldlink {
 
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -332,8 +332,7 @@
     std::erase_if(unconfirmed->second, [now](const auto& start) { return now - start.second.at > s_maxOrderDelay; });
     for (const auto& [key, start] : unconfirmed->second) {
         const auto run = worker.runs.find(key);
-        const bool isOpen
-            = run != worker.runs.end() && run->second.number == start.run && !run->second.confirmedAt;
+        const bool isOpen = run != worker.runs.end() && run->second.number == start.run && !run->second.confirmedAt;
         if (!isOpen || start.at > worker.pollSentAt)
             continue;
         const auto stop = m_pendingStops.find({ id, key });
