--- a/lib/Coordination/MaintenancePlanner.cpp
+++ b/lib/Coordination/MaintenancePlanner.cpp
@@ -168,8 +168,10 @@
     for (const auto& [id, state] : m_waves) {
         if (!state.isRequested || state.isComplete)
             continue;
-        std::copy_if(state.wave.instances.begin(), state.wave.instances.end(), std::inserter(due, due.end()),
-            [&state](const std::string& instance) { return !state.finished.contains(instance); });
+        for (const auto& instance : state.wave.instances) {
+            if (!state.finished.contains(instance))
+                due.insert(instance);
+        }
     }
     return due;
 }
