Do not repeat stops to a worker that does not answer polls

Trace: at 44.6 to 47.7 s, calm by then, the coordinator sends 1,300 to 4,158 stops a second, 15 to 23 iterations of its loop a second.

Cause: each stop without an answer was sent again every 400 ms, before the 600 ms in which the last one may be answered, whatever their number. Starts that the slow loop gave up added stops, which made it slower.

StopsOfSilentWorkers.AreNotRepeatedBeforeTheWorkerAnswers failed before (56 stops of 8 runs in 2.5 s).

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -163,6 +163,7 @@
     void logServiceStop(const Worker&, const TaskKey&, StopReason, TimePoint now) const;
     // Describes when the worker last answered, for the log.
     static std::string lastAnswerText(const Worker&, TimePoint now);
+    // Resends the stops without an answer, but not to a worker that does not answer polls either.
     void resendStops(TimePoint now);
     void stopRunsOf(const Job&, TimePoint now);
     void handleRunEnd(const WorkerId&, const TaskKey&, RunNumber, RunEnd, const std::string& checkpoint, TimePoint now);
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -433,8 +433,12 @@
 
 void Coordinator::resendStops(TimePoint now)
 {
+    const auto isAwaitingWorker = [this](const WorkerId& id) {
+        const auto* worker = m_workers.find(id);
+        return worker && !worker->isAnswering;
+    };
     for (auto& [key, stop] : m_pendingStops) {
-        if (stop.resendAt > now || stop.awaitsPoll)
+        if (stop.resendAt > now || stop.awaitsPoll || isAwaitingWorker(key.first))
             continue;
         const auto* task = m_jobs.findTask(key.second);
         const auto* worker = m_workers.find(key.first);
@@ -448,7 +452,7 @@
         return !worker || !worker->runs.contains(entry.first.second);
     });
     for (const auto& [key, stop] : m_pendingStops) {
-        if (!stop.awaitsPoll)
+        if (!stop.awaitsPoll && !isAwaitingWorker(key.first))
             m_nextTick = std::min(m_nextTick, std::max(stop.resendAt, now + Duration(1)));
     }
 }
--- a/unittests/Entry/RunsTest.cpp
+++ b/unittests/Entry/RunsTest.cpp
@@ -231,6 +231,30 @@
         EXPECT_NE(fleet.starts[0].worker.id.value(), worker);
     }
 
+    // Guards against TWICE and SHORT violations: stops without an answer were repeated every 400 ms each, up to 4,158 a
+    // second. The coordinator had no time left for polls, so leases expired and tasks that were done started again.
+    TEST(StopsOfSilentWorkers, AreNotRepeatedBeforeTheWorkerAnswers)
+    {
+        constexpr int tasks = 8;
+        CoordinatorHarness fleet;
+        fleet.begin({ "w1" });
+        fleet.accept(CoordinatorHarness::job("a", tasks));
+        fleet.run(Duration(5));
+        ASSERT_EQ(fleet.starts.size(), static_cast<std::size_t>(tasks));
+        fleet.answerStarts(StartAnswer::Unknown);
+        const auto runFor = [&fleet](Duration time) {
+            for (const auto end = fleet.now + time; fleet.now < end; fleet.run(Duration(50)))
+                fleet.failPolls("w1");
+        };
+        runFor(Duration(2000));
+        EXPECT_EQ(fleet.stops.size(), static_cast<std::size_t>(tasks)) << "one stop for each unanswered start";
+        fleet.stops.clear();
+        fleet.run(Duration(400));
+        fleet.answerPolls({}, {}, "w1");
+        fleet.run(Duration(5));
+        EXPECT_EQ(fleet.stops.size(), static_cast<std::size_t>(tasks)) << "repeated once the worker answers";
+    }
+
     // Guards against TWICE and AVAIL violations (fleet model, seeds 31, 59 and 1010): an order to an earlier
     // incarnation of a worker arrived after a restart. Its deadline, by the clock of that incarnation, extended the
     // lease beyond what the coordinator had granted, so runs were given up while they went on.
