Leave nothing in the event loop when an HTTP client is destroyed

Cause: a destroyed client left its timers in the lists of the loop, freed. The next client was allocated in its place and linked them again, so the loop never came to the end of its list. It had gone well by the layout of memory before. Class: a registration that outlives its owner. marigold-node has one client for its whole life.

HttpClientEndpoints.AClientLeavesNothingInTheLoopWhenItIsDestroyed did not return before.

--- a/lib/Transport/HttpClient.cpp
+++ b/lib/Transport/HttpClient.cpp
@@ -81,8 +81,32 @@
         , idleTime(idle)
     {
         h2o_linklist_init_anchor(&poolTimers);
+        queue = h2o_multithread_create_queue(loop.native());
+        h2o_multithread_register_receiver(queue, &receiver, h2o_hostinfo_getaddr_receiver);
+        h2o_timeout_init(loop.native(), &ioTimeout, s_ioTimeoutMilliseconds);
+        context.loop = loop.native();
+        context.getaddr_receiver = &receiver;
+        context.io_timeout = &ioTimeout;
     }
 
+    // The loop may go on, so nothing of this client may remain in its lists.
+    ~Impl()
+    {
+        for (auto& [id, call] : calls) {
+            loop.cancel(call->timeout);
+            if (call->client)
+                h2o_http1client_cancel(call->client);
+        }
+        for (auto& [endpoint, slot] : pools)
+            h2o_socketpool_dispose(&slot->native);
+        h2o_timeout_dispose(loop.native(), &ioTimeout);
+        h2o_multithread_unregister_receiver(queue, &receiver);
+        h2o_multithread_destroy_queue(queue);
+    }
+
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
     EventLoop& loop;
     Duration idleTime; // after which the pool of an endpoint is evicted
     h2o_multithread_queue_t* queue { nullptr };
@@ -255,12 +279,6 @@
 HttpClient::HttpClient(EventLoop& loop, Duration idleTime)
     : m_impl(std::make_unique<Impl>(loop, idleTime))
 {
-    m_impl->queue = h2o_multithread_create_queue(loop.native());
-    h2o_multithread_register_receiver(m_impl->queue, &m_impl->receiver, h2o_hostinfo_getaddr_receiver);
-    h2o_timeout_init(loop.native(), &m_impl->ioTimeout, s_ioTimeoutMilliseconds);
-    m_impl->context.loop = loop.native();
-    m_impl->context.getaddr_receiver = &m_impl->receiver;
-    m_impl->context.io_timeout = &m_impl->ioTimeout;
     loop.every(s_poolMaintenancePeriod, [weak = std::weak_ptr(m_impl)] {
         if (const auto impl = weak.lock())
             impl->maintainPools();
@@ -297,7 +315,10 @@
         m_impl->connect(rawCall, endpoint);
         return;
     }
-    m_impl->loop.post([impl = m_impl.get(), id = rawCall->id, endpoint] {
+    m_impl->loop.post([weak = std::weak_ptr(m_impl), id = rawCall->id, endpoint] {
+        const auto impl = weak.lock();
+        if (!impl)
+            return;
         if (const auto found = impl->calls.find(id); found != impl->calls.end())
             impl->connect(found->second.get(), endpoint);
     });
--- a/unittests/Transport/HttpClientTest.cpp
+++ b/unittests/Transport/HttpClientTest.cpp
@@ -193,4 +193,25 @@
     EXPECT_EQ(client.endpointCount(), 1u);
 }
 
+// Guards against a loop that never returns: a client that was destroyed left its timers in the lists of the event loop,
+// and the next client was allocated in its place.
+TEST(HttpClientEndpoints, AClientLeavesNothingInTheLoopWhenItIsDestroyed)
+{
+    EventLoop loop;
+    HttpServer server(loop, HttpServer::Limits {}, [](const HttpRequest&, const HttpResponderPtr& responder) {
+        responder->send({ 200, "{}", "application/json", {} });
+    });
+    const auto endpoint = server.listen({ "127.0.0.1", 0 });
+    for (int i = 0; i < 3; ++i) {
+        HttpClient client(loop);
+        bool isAnswered = false;
+        client.send(endpoint, {}, [&isAnswered](const HttpResult& result) { isAnswered = result.isOk(); });
+        loop.runUntil([&] { return isAnswered; });
+        client.send(endpoint, {}, [](const HttpResult&) { ADD_FAILURE() << "the client was destroyed before"; });
+    }
+    const auto end = loop.now() + Duration(100);
+    loop.after(Duration(100), [] {});
+    loop.runUntil([&] { return loop.now() >= end; });
+}
+
 } // namespace marigoldlink
