Give up the ownership if the records cannot be read

Class: a retry under the same deadline that was missed, by one that keeps others out.

Now failed reads are logged, and the owner resigns once they have gone on for 2 s.

RunnerStart.GivesUpTheOwnershipIfItCannotReadTheRecords fails without this.

--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -57,7 +57,7 @@
 class CoordinatorRunner : public std::enable_shared_from_this<CoordinatorRunner<Platform>> {
 public:
     using OnReply = std::function<void(CallToken, const Reply&)>;
-    using OnSuperseded = std::function<void()>;
+    using OnSuperseded = std::function<void()>; // the ownership has to be given up
 
     CoordinatorRunner(EventLoop& loop, Platform& platform, CoordinatorSettings settings, const Ownership& ownership,
         CoordinatorSinks sinks, OnReply onReply, OnSuperseded onSuperseded)
@@ -80,6 +80,7 @@
 
     void start(const OperatorState& operators)
     {
+        m_startedAt = m_loop.now();
         m_coordinator.setOperators(operators, m_loop.now());
         m_workers->start();
         reportLoad();
@@ -140,6 +141,13 @@
                 onLoaded(std::move(result.values));
                 return;
             }
+            if (m_loop.now() - m_startedAt > s_maxFailingLoadTime) {
+                s_log.warning("Records could not be read for too long. Resigning.", { { "prefix", prefix } });
+                stop();
+                m_onSuperseded();
+                return;
+            }
+            s_log.warning("Records could not be read. Reading them again.", { { "prefix", prefix } });
             m_loop.after(Duration(s_loadRetryMs), [this, self, prefix, onLoaded] { load(prefix, onLoaded); });
         });
     }
@@ -437,6 +445,9 @@
     static constexpr Duration s_workerBatchDelay { 25 };
     static constexpr Duration s_reportPeriod { 1000 };
     static constexpr int s_loadRetryMs = 100;
+    // A small instance may not be able to read a page before the call times out. It then leaves the ownership to
+    // another.
+    static constexpr Duration s_maxFailingLoadTime { 2000 };
     static constexpr int s_readinessPollMs = 5;
 
     EventLoop& m_loop;
@@ -445,6 +456,7 @@
     Duration m_instanceCallTimeout;
     bool m_comparesInstanceFences;
     TimePoint m_leaseValidUntil; // set before the first order is executed
+    TimePoint m_startedAt;
     Coordinator m_coordinator;
     MeasurementSink m_measure;
     LoadMeter m_load;
--- a/unittests/Entry/RunnerTest.cpp
+++ b/unittests/Entry/RunnerTest.cpp
@@ -72,5 +72,27 @@
         EXPECT_GE(m_replies, 1) << "the caller of the stored job has its reply";
     }
 
+    // Guards against LOST violations: a coordinator on a small instance renewed its lease but could not read the
+    // records, so no other one was elected and nothing started until the end of the day.
+    TEST(RunnerStart, GivesUpTheOwnershipIfItCannotReadTheRecords)
+    {
+        EventLoop loop;
+        ScriptedPlatform platform;
+        bool hasGivenUp = false;
+        const auto runner = std::make_shared<CoordinatorRunner<ScriptedPlatform>>(
+            loop, platform, CoordinatorSettings {}, Ownership {}, CoordinatorSinks {}, [](CallToken, const Reply&) {},
+            [&hasGivenUp] { hasGivenUp = true; });
+        runner->setLeaseValidUntil(TimePoint::max());
+        runner->start({});
+        const auto until = loop.now() + Duration(10000);
+        loop.every(Duration(50), [] {}); // wakes the loop
+        loop.runUntil([&] {
+            platform.answer(std::string(records::jobPrefix), StoreStatus::Unavailable, noRevision);
+            return hasGivenUp || loop.now() >= until;
+        });
+        EXPECT_TRUE(hasGivenUp);
+        EXPECT_FALSE(runner->isReady());
+    }
+
 } // namespace
 } // namespace marigoldlink
