Name the wave in the answer to a maintenance call

Two waves shared instances, and outages of the instance calls made the first one late.

Cause: callAccepted() of the planner was told the instance but not the wave that the call had named, and marked the instance as finished in each requested wave that lists it. plan() skips finished instances, so they were not maintained for the other wave at all. On related paths: the repetition of a call without an answer named the first wave by id that lists the instance, not the wave of the call; an instance under maintenance for one wave held up the completion of others.

The wave is now carried from the order to the answer. An unanswered call of a withdrawn wave, which is not repeated any more, is dropped once it can have no further effect, as it would block the instance for the other waves.

Ruled out: the status being written too early.

--- a/include/marigoldlink/Coordination/MaintenancePlanner.h
+++ b/include/marigoldlink/Coordination/MaintenancePlanner.h
@@ -54,13 +54,14 @@
     std::vector<MaintenanceStep> plan(
         const std::map<std::string, FleetInstance>& instances, const LoadOf&, TimePoint now);
 
-    // A maintenance call for the instance was sent, and later accepted or rejected.
+    // A maintenance call for the instance was sent, and later accepted or rejected. A call serves only the wave that it
+    // names: an instance that is in several waves is maintained once for each of them.
     void callSent(const WaveId&, const std::string& instance, TimePoint now);
-    void callAccepted(const std::string& instance, TimePoint now);
+    void callAccepted(const WaveId&, const std::string& instance, TimePoint now);
     void callRejected(const std::string& instance, TimePoint now);
-    // The call had no answer. The instance counts as under maintenance and the call is planned again, which is safe
-    // since the call is idempotent.
-    void callUnanswered(const std::string& instance, TimePoint now);
+    // The call had no answer. The instance counts as under maintenance and the call is planned again for the same wave,
+    // which is safe since the call is idempotent.
+    void callUnanswered(const WaveId&, const std::string& instance, TimePoint now);
 
     const std::set<std::string>& reserved() const { return m_reserved; }
     bool isUnderMaintenance(const std::string& instance) const { return m_underMaintenance.contains(instance); }
@@ -80,11 +81,13 @@
     struct WaveState {
         MaintenanceWave wave;
         bool isRequested { false }; // operators request it now
-        std::set<std::string> finished; // instances whose maintenance was accepted, or that are no longer listed
+        // Instances whose maintenance for this wave was accepted, or that are no longer listed.
+        std::set<std::string> finished;
         bool isComplete { false };
         bool hasChanged { false };
     };
     struct MaintenanceCall {
+        WaveId wave;
         TimePoint sentAt; // of the last call; once accepted, when the answer arrived
         bool isAccepted { false };
         std::optional<TimePoint> unansweredSentAt; // of the last call that had no answer
@@ -92,7 +95,10 @@
     };
 
     int countUnderMaintenance(const WaveState&) const;
-    void updateCompletion(WaveState&, const std::map<std::string, FleetInstance>&);
+    bool isUnderMaintenanceFor(const WaveId&, const std::string& instance) const;
+    // Whether the call can have no further effect on the instance, which the list shows as up.
+    bool hasEnded(const MaintenanceCall&, TimePoint now) const;
+    void updateCompletion(const WaveId&, WaveState&, const std::map<std::string, FleetInstance>&);
 
     Limits m_limits;
     std::map<WaveId, WaveState> m_waves;
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -302,7 +302,7 @@
         TimePoint since;
     };
     std::map<WorkerId, EndingWorker> m_endingWorkers;
-    std::set<std::string> m_maintenanceInFlight; // instances with an unanswered maintenance call
+    std::map<std::string, WaveId> m_maintenanceInFlight; // wave of the call in flight, by instance
     PoolSizer m_sizer { {} };
     std::map<ServiceId, ArrivalForecast> m_arrivals;
     struct Move {
--- a/lib/Coordination/MaintenancePlanner.cpp
+++ b/lib/Coordination/MaintenancePlanner.cpp
@@ -38,7 +38,25 @@
         [this](const std::string& instance) { return m_underMaintenance.contains(instance); }));
 }
 
-void MaintenancePlanner::updateCompletion(WaveState& state, const std::map<std::string, FleetInstance>& instances)
+bool MaintenancePlanner::isUnderMaintenanceFor(const WaveId& id, const std::string& instance) const
+{
+    const auto call = m_underMaintenance.find(instance);
+    return call != m_underMaintenance.end() && call->second.wave == id;
+}
+
+bool MaintenancePlanner::hasEnded(const MaintenanceCall& call, TimePoint now) const
+{
+    const auto longestEffect = m_limits.maintenanceDuration + s_listLag;
+    if (call.isAccepted)
+        return now - call.sentAt > longestEffect;
+    // A call of a wave that operators have withdrawn is not repeated, so its outcome stays unknown.
+    const auto wave = m_waves.find(call.wave);
+    const bool isWithdrawn = wave == m_waves.end() || !wave->second.isRequested;
+    return isWithdrawn && call.unansweredSentAt && now - *call.unansweredSentAt > longestEffect;
+}
+
+void MaintenancePlanner::updateCompletion(
+    const WaveId& id, WaveState& state, const std::map<std::string, FleetInstance>& instances)
 {
     for (const auto& instance : state.wave.instances) {
         if (instances.contains(instance) || state.finished.contains(instance))
@@ -48,7 +66,7 @@
     }
     const bool isComplete
         = std::all_of(state.wave.instances.begin(), state.wave.instances.end(), [&](const std::string& instance) {
-              return state.finished.contains(instance) && !m_underMaintenance.contains(instance);
+              return state.finished.contains(instance) && !isUnderMaintenanceFor(id, instance);
           });
     if (isComplete && !state.isComplete) {
         state.isComplete = true;
@@ -67,13 +85,12 @@
         const auto found = instances.find(entry.first);
         if (found == instances.end())
             return true;
-        return entry.second.isAccepted && now - entry.second.sentAt > m_limits.maintenanceDuration + s_listLag
-            && found->second.state == InstanceState::Up;
+        return found->second.state == InstanceState::Up && hasEnded(entry.second, now);
     });
     for (auto& [id, state] : m_waves) {
         if (!state.isRequested || state.isComplete)
             continue;
-        updateCompletion(state, instances);
+        updateCompletion(id, state, instances);
         struct Waiting {
             std::string instance;
             InstanceLoad load;
@@ -83,7 +100,8 @@
         for (const auto& instance : state.wave.instances) {
             const auto found = instances.find(instance);
             if (const auto call = m_underMaintenance.find(instance);
-                call != m_underMaintenance.end() && call->second.retryAt && *call->second.retryAt <= now)
+                call != m_underMaintenance.end() && call->second.wave == id && call->second.retryAt
+                && *call->second.retryAt <= now)
                 steps.push_back({ id, state.wave.number, instance });
             if (state.finished.contains(instance) || m_underMaintenance.contains(instance) || found == instances.end()
                 || found->second.state != InstanceState::Up)
@@ -114,25 +132,23 @@
     return steps;
 }
 
-void MaintenancePlanner::callSent(const WaveId&, const std::string& instance, TimePoint now)
+void MaintenancePlanner::callSent(const WaveId& wave, const std::string& instance, TimePoint now)
 {
     auto& call = m_underMaintenance[instance];
+    call.wave = wave;
     call.sentAt = now;
     call.retryAt.reset();
     m_reservedSince.erase(instance);
 }
 
-void MaintenancePlanner::callAccepted(const std::string& instance, TimePoint now)
+void MaintenancePlanner::callAccepted(const WaveId& wave, const std::string& instance, TimePoint now)
 {
-    m_underMaintenance[instance] = { now, true, std::nullopt, std::nullopt };
-    for (auto& [id, state] : m_waves) {
-        if (!state.isRequested || state.isComplete)
-            continue;
-        if (std::find(state.wave.instances.begin(), state.wave.instances.end(), instance) == state.wave.instances.end())
-            continue;
-        state.finished.insert(instance);
-        state.hasChanged = true;
-    }
+    m_underMaintenance[instance] = { wave, now, true, std::nullopt, std::nullopt };
+    const auto found = m_waves.find(wave);
+    if (found == m_waves.end() || found->second.isComplete)
+        return;
+    found->second.finished.insert(instance);
+    found->second.hasChanged = true;
 }
 
 void MaintenancePlanner::callRejected(const std::string& instance, TimePoint now)
@@ -149,9 +165,10 @@
     m_retryNotBefore[instance] = now + s_retryDelay;
 }
 
-void MaintenancePlanner::callUnanswered(const std::string& instance, TimePoint now)
+void MaintenancePlanner::callUnanswered(const WaveId& wave, const std::string& instance, TimePoint now)
 {
     auto& call = m_underMaintenance[instance];
+    call.wave = wave;
     call.retryAt = now + s_retryDelay;
     call.unansweredSentAt = call.sentAt;
 }
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -166,7 +166,7 @@
             || (!isRepeated && !waveLoad(step.instance, now).mayStopServices))
             continue;
         m_waves.callSent(step.wave, step.instance, now);
-        m_maintenanceInFlight.insert(step.instance);
+        m_maintenanceInFlight[step.instance] = step.wave;
         auto* worker = m_workers.find(m_instances.at(step.instance).worker);
         const auto load = waveLoad(step.instance, now);
         log("maintenance", step.instance,
@@ -216,7 +216,8 @@
 {
     m_nextTick = now;
     const bool isMove = m_moves.contains(instance);
-    m_maintenanceInFlight.erase(instance);
+    const auto inFlight = m_maintenanceInFlight.extract(instance);
+    const auto wave = inFlight ? inFlight.mapped() : WaveId();
     if (answer == InstanceAnswer::StaleFence) {
         m_isSuperseded = true;
         log("coordinator", std::to_string(m_term.fence), "superseded: instance " + instance + " has a higher fence");
@@ -227,7 +228,7 @@
         if (isMove && found != m_instances.end())
             moveAccepted(found->second, m_moves.at(instance).pool, now);
         else if (!isMove)
-            m_waves.callAccepted(instance, now);
+            m_waves.callAccepted(wave, instance, now);
         if (!isMove && found != m_instances.end())
             maintenanceAccepted(found->second, now);
         m_nextFlush = std::min(m_nextFlush, now + s_recordDelay);
@@ -237,7 +238,7 @@
     if (isMove) {
         handleMoveRefusal(instance, answer, now);
     } else if (answer == InstanceAnswer::Unknown) {
-        m_waves.callUnanswered(instance, now);
+        m_waves.callUnanswered(wave, instance, now);
     } else {
         m_waves.callRejected(instance, now);
         auto* worker = found == m_instances.end() ? nullptr : m_workers.find(found->second.worker);
--- a/unittests/Coordination/MaintenancePlannerTest.cpp
+++ b/unittests/Coordination/MaintenancePlannerTest.cpp
@@ -84,13 +84,13 @@
             if (outcome == 7) {
                 plan.callRejected(step.instance, now); // not carried out
             } else if (outcome == 6) {
-                plan.callUnanswered(step.instance, now); // the request is lost
+                plan.callUnanswered(step.wave, step.instance, now); // the request is lost
             } else {
                 fleet.begin(step.instance, now);
                 if (outcome == 5)
-                    plan.callUnanswered(step.instance, now); // carried out, but the answer is lost
+                    plan.callUnanswered(step.wave, step.instance, now); // carried out, but the answer is lost
                 else
-                    plan.callAccepted(step.instance, now);
+                    plan.callAccepted(step.wave, step.instance, now);
             }
         }
         RC_ASSERT(fleet.countDown(now) <= maxAtOnce);
@@ -113,12 +113,12 @@
     plan.setWaves({ { s_wave, wave(2, 1) } });
     ASSERT_EQ(plan.plan(fleet.instances, load, begin).size(), 1u);
     plan.callSent(s_wave, "i0", begin);
-    plan.callUnanswered("i0", begin);
+    plan.callUnanswered(s_wave, "i0", begin);
     const auto repeatedAt = begin + Duration(1000);
     ASSERT_EQ(plan.plan(fleet.instances, load, repeatedAt).size(), 1u);
     plan.callSent(s_wave, "i0", repeatedAt);
     fleet.begin("i0", repeatedAt);
-    plan.callUnanswered("i0", repeatedAt);
+    plan.callUnanswered(s_wave, "i0", repeatedAt);
     const auto rejectedAt = begin + Duration(2500);
     ASSERT_EQ(plan.plan(fleet.instances, load, rejectedAt).size(), 1u);
     plan.callSent(s_wave, "i0", rejectedAt);
@@ -128,6 +128,79 @@
         EXPECT_EQ(step.instance, "i0");
 }
 
+// Guards against MIXED violations (review/5): a call for one wave ticked its instance off in all waves.
+RC_GTEST_PROP(MaintenancePlanner, EachOfTwoOverlappingWavesMaintainsAllItsInstances, ())
+{
+    auto choices = Choices::generate(50);
+    const int count = 1 + static_cast<int>(choices.below(12));
+    const WaveId second("2");
+    std::map<WaveId, MaintenanceWave> waves { { s_wave, wave(count, 3) }, { second, wave(count, 3) } };
+    waves[second].id = second;
+    waves[second].number = 2;
+    waves[second].instances.erase(waves[second].instances.begin());
+    const auto secondFrom = static_cast<int>(choices.below(60));
+    Fleet fleet(count);
+    MaintenancePlanner plan({ Duration(2000), Duration(500) });
+    plan.setWaves({ { s_wave, waves[s_wave] } });
+    std::map<WaveId, std::set<std::string>> begun;
+    std::set<WaveId> complete;
+    TimePoint now { Duration(1000) };
+    for (int i = 0; i < 3000 && complete.size() < waves.size(); ++i) {
+        now += Duration(50);
+        if (i == secondFrom)
+            plan.setWaves(waves);
+        fleet.updateList(now);
+        const auto steps = plan.plan(
+            fleet.instances, [&](const std::string&) { return InstanceLoad {}; }, now);
+        for (const auto& step : steps) {
+            plan.callSent(step.wave, step.instance, now);
+            const auto outcome = choices.below(8);
+            if (outcome == 7) {
+                plan.callRejected(step.instance, now);
+                continue;
+            }
+            if (outcome != 6 && begun[step.wave].insert(step.instance).second)
+                fleet.downUntil[step.instance] = now + Duration(2000);
+            if (outcome >= 5)
+                plan.callUnanswered(step.wave, step.instance, now);
+            else
+                plan.callAccepted(step.wave, step.instance, now);
+        }
+        for (const auto& change : plan.takeChanges()) {
+            if (!change.isComplete)
+                continue;
+            complete.insert(change.wave);
+            const auto& due = waves.at(change.wave).instances;
+            RC_ASSERT(begun[change.wave] == std::set<std::string>(due.begin(), due.end()));
+        }
+    }
+    RC_ASSERT(complete.size() == waves.size());
+}
+
+// An instance whose call had no answer must not stay reserved for good when operators withdraw the wave of the call.
+TEST(MaintenancePlanner, AnUnansweredCallOfAWithdrawnWaveDoesNotHoldUpAnotherWave)
+{
+    Fleet fleet(1);
+    MaintenancePlanner plan({ Duration(2000), Duration(500) });
+    const auto load = [](const std::string&) { return InstanceLoad {}; };
+    const WaveId second("2");
+    auto later = wave(1, 1);
+    later.id = second;
+    later.number = 2;
+    TimePoint now { Duration(1000) };
+    plan.setWaves({ { s_wave, wave(1, 1) } });
+    ASSERT_EQ(plan.plan(fleet.instances, load, now).size(), 1u);
+    plan.callSent(s_wave, "i0", now);
+    plan.callUnanswered(s_wave, "i0", now);
+    plan.setWaves({ { second, later } });
+    now += Duration(1000);
+    EXPECT_TRUE(plan.plan(fleet.instances, load, now).empty()) << "the call may have taken effect";
+    now += Duration(2000);
+    const auto steps = plan.plan(fleet.instances, load, now);
+    ASSERT_EQ(steps.size(), 1u);
+    EXPECT_EQ(steps[0].wave, second);
+}
+
 TEST(MaintenancePlanner, WaitsForServicesThatCannotSpareATask)
 {
     Fleet fleet(1);
--- a/unittests/Entry/WavesTest.cpp
+++ b/unittests/Entry/WavesTest.cpp
@@ -119,6 +119,46 @@
         EXPECT_THAT(fleet.maintenance, SizeIs(2)) << "the maintenance is retried";
     }
 
+    // Guards against MIXED violations (review/5): maintenance for one wave ticked its instance off in all waves, so a
+    // wave was complete although the instance was never maintained for it.
+    TEST_F(Waves, AnInstanceInTwoWavesIsMaintainedForEach)
+    {
+        MaintenanceWave second = fleet.operators.waves.at(WaveId("1"));
+        second.id = WaveId("2");
+        second.number = 2;
+        fleet.operators.waves[second.id] = second;
+        beginWave();
+        pass(Duration(400), { "w1", "w2" });
+        ASSERT_THAT(fleet.maintenance, SizeIs(1));
+        fleet.coordinator.instanceAnswered("m-w1", InstanceAnswer::Done, fleet.now);
+        for (int i = 0; i < 60; ++i) {
+            fleet.coordinator.instancesListed(instances, fleet.now);
+            pass(Duration(50), { "w1", "w2" });
+        }
+        ASSERT_THAT(fleet.maintenance, SizeIs(2));
+        EXPECT_NE(fleet.maintenance[0].wave, fleet.maintenance[1].wave);
+    }
+
+    // The repetition of a call without an answer must name the wave of that call, or the wave would be maintained twice
+    // and the other one not at all.
+    TEST_F(Waves, ACallWithoutAnAnswerIsRepeatedForItsOwnWave)
+    {
+        fleet.operators.waves.at(WaveId("1")).id = WaveId("5");
+        const auto wave = fleet.operators.waves.extract(WaveId("1")).mapped();
+        fleet.operators.waves[WaveId("5")] = wave;
+        beginWave();
+        pass(Duration(400), { "w1", "w2" });
+        ASSERT_THAT(fleet.maintenance, SizeIs(1));
+        auto earlier = wave;
+        earlier.id = WaveId("4");
+        fleet.operators.waves[earlier.id] = earlier;
+        beginWave();
+        fleet.coordinator.instanceAnswered("m-w1", InstanceAnswer::Unknown, fleet.now);
+        pass(Duration(800), { "w1", "w2" });
+        ASSERT_THAT(fleet.maintenance, SizeIs(2));
+        EXPECT_EQ(fleet.maintenance[1].wave, WaveId("5"));
+    }
+
     // A coordinator that takes over a worker with one run of a service; the wave asks for the worker's instance.
     class WavesAfterATakeover : public testing::Test {
     protected:
