Record the services on which the jobs of a queue may have runs

Cause: a successor holds back restored jobs that may have runs on a worker it does not reach. It compared that worker's service with the present service of the job's queue, and no record told on which service the tasks had been started.

A record of each queue now names all services on which its jobs may have runs. Nothing starts on a service before the record that names it is stored, so a successor holds a job back for workers of any of them. A queue without a record, written by an earlier version, may have runs on any service. The record is removed with the last job of a queue that is no longer configured. The runner reads one more prefix at a takeover; its nested loads became one loop for that.

Weighed: holding back all restored jobs while any worker is not reached (one crashed worker would stop all services for 7 s after each takeover), and a record for each job (a write for every active job of a queue that changes).

Ruled out: the lease of the cut-off worker expiring early (the case's first runs go on until after the second ones began), and a successor on an old configuration (in the test it has the new one).

Submissions.MayBeWithdrawnFromABatchThatTheStoreRefused stores the queue's record first; what it asserts is unchanged.

--- a/include/marigoldlink/Coordination/Placement.h
+++ b/include/marigoldlink/Coordination/Placement.h
@@ -56,7 +56,8 @@
 class Placement {
 public:
     using IsUsable = std::function<bool(const Worker&)>;
-    // False while a worker of the job's service may have an active run of the job that is unknown here.
+    // False while a worker may have an active run of the job that is unknown here, or while a successor would not know
+    // where to look for the job's runs.
     using IsAccountedFor = std::function<bool(const Job&)>;
 
     Placement(const JobTable& jobs, const WorkerTable& workers, const FleetConfig& config, const TeamUsageTotals& use,
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -14,6 +14,7 @@
 #include "marigoldlink/Coordination/WorkerTable.h"
 #include "marigoldlink/Entry/Measurements.h"
 #include "marigoldlink/Entry/Orders.h"
+#include "marigoldlink/Protocol/JobCodec.h"
 
 #include <functional>
 #include <string_view>
@@ -64,6 +65,7 @@
 
     // Restore the stored state. To be called before the first tick.
     void restoreJob(JobSpec, const JobProgress&, TimePoint now);
+    void restoreQueue(const QueueId&, const QueueRecord&);
     void restoreWave(const WaveId&, std::set<std::string> finished);
     // onlyRuns: as in WorkerRecord.
     void restoreWorker(const WorkerEntry&, std::optional<std::set<TaskKey>> onlyRuns, TimePoint now);
@@ -127,6 +129,18 @@
     void measure(const Measurement&) const;
     const JobQueue& queueOf(const JobSpec&) const;
 
+    // Queues.
+    // Adds the services of the present configuration to those on which each queue's jobs may have runs.
+    void noteQueueServices();
+    void queueStored(const QueueId&, const std::string& record);
+    // Removes the queues that are neither in the configuration nor in the given set.
+    void removeUnusedQueues(const std::set<QueueId>& used);
+    // A successor finds the runs of a job by the services in the record of its queue, so nothing is started on a
+    // service before the record that names it is stored.
+    bool isServiceRecorded(const Job&) const;
+    // Whether a predecessor may have started tasks of the job on one of the services.
+    bool mayHaveRunsOn(const Job&, const std::set<ServiceId>&) const;
+
     // Jobs and journal.
     void flushJobs(TimePoint now);
     void sendJournal(TimePoint now);
@@ -264,6 +278,14 @@
     Duration m_writeTime { 0 }; // moving average over the stored batches
     std::uint64_t m_batchNumber { 0 }; // of the last batch that was sent
     std::set<WorkerId> m_workersToRecord; // workers whose record is not yet queued in the journal
+    struct KnownQueue {
+        std::set<ServiceId> services; // on which its jobs may have runs
+        std::set<ServiceId> stored; // those that the stored record names; a subset of the above
+        // A predecessor's record was read. Without one, the services on which it started tasks are not known.
+        bool isRestored { false };
+    };
+    std::map<QueueId, KnownQueue> m_queues;
+    std::set<QueueId> m_queuesToRecord; // queues whose record is not yet queued in the journal
     std::set<JobId> m_jobsToQueue; // accepted; record not yet queued in the journal
     std::map<JobId, TimePoint> m_unstoredJobs; // accepted; record not yet stored; refused if not sent by this time
     struct PendingStop {
@@ -347,11 +369,13 @@
 namespace records {
     inline const std::string jobPrefix = "marigold/job/";
     inline const std::string progressPrefix = "marigold/progress/";
+    inline const std::string queuePrefix = "marigold/queue/";
     inline const std::string wavePrefix = "marigold/wave/";
     inline const std::string workerPrefix = "marigold/worker/";
     inline std::string job(const JobId& id) { return jobPrefix + id.value(); }
     inline std::string progress(const JobId& id) { return progressPrefix + id.value(); }
     inline std::string worker(const WorkerId& id) { return workerPrefix + id.value(); }
+    inline std::string queue(const QueueId& id) { return queuePrefix + id.value(); }
     inline std::string wave(const WaveId& id) { return wavePrefix + id.value(); }
 } // namespace records
 
--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -5,6 +5,7 @@
 #include "marigoldlink/Entry/Election.h"
 #include "marigoldlink/Protocol/JobCodec.h"
 
+#include <array>
 #include <chrono>
 #include <ctime>
 #include <memory>
@@ -84,15 +85,7 @@
         m_coordinator.setOperators(operators, m_loop.now());
         m_workers->start();
         reportLoad();
-        load(records::jobPrefix, [this](std::vector<StoredValue> jobs) {
-            load(records::progressPrefix, [this, jobs = std::move(jobs)](std::vector<StoredValue> progress) {
-                load(records::wavePrefix, [this, jobs, progress = std::move(progress)](std::vector<StoredValue> waves) {
-                    load(records::workerPrefix,
-                        [this, jobs, progress, waves = std::move(waves)](
-                            const std::vector<StoredValue>& workers) { loaded(jobs, progress, waves, workers); });
-                });
-            });
-        });
+        loadFrom(0);
     }
 
     // Stops the coordinator. Answers that arrive later are dropped.
@@ -132,13 +125,22 @@
 private:
     std::uint64_t fence() const { return static_cast<std::uint64_t>(m_ownership.ownerRevision); }
 
-    void load(const std::string& prefix, std::function<void(std::vector<StoredValue>)> onLoaded)
+    // Reads the records of all kinds, one kind after the other.
+    void loadFrom(std::size_t kind)
     {
-        m_platform.range(prefix, [this, self = this->shared_from_this(), prefix, onLoaded](RangeResult result) {
+        static const std::array prefixes { &records::jobPrefix, &records::progressPrefix, &records::queuePrefix,
+            &records::wavePrefix, &records::workerPrefix };
+        if (kind == prefixes.size()) {
+            loaded();
+            return;
+        }
+        const auto& prefix = *prefixes[kind];
+        m_platform.range(prefix, [this, self = this->shared_from_this(), prefix, kind](RangeResult result) {
             if (m_isStopped)
                 return;
             if (result.status == StoreStatus::Ok) {
-                onLoaded(std::move(result.values));
+                m_stored[prefix] = std::move(result.values);
+                loadFrom(kind + 1);
                 return;
             }
             if (m_loop.now() - m_startedAt > s_maxFailingLoadTime) {
@@ -148,41 +150,45 @@
                 return;
             }
             s_log.warning("Records could not be read. Reading them again.", { { "prefix", prefix } });
-            m_loop.after(Duration(s_loadRetryMs), [this, self, prefix, onLoaded] { load(prefix, onLoaded); });
+            m_loop.after(Duration(s_loadRetryMs), [this, self, kind] { loadFrom(kind); });
         });
     }
 
-    void loaded(const std::vector<StoredValue>& jobs, const std::vector<StoredValue>& progress,
-        const std::vector<StoredValue>& waves, const std::vector<StoredValue>& workers)
+    void loaded()
     {
         const auto now = m_loop.now();
         std::map<JobId, JobProgress> progressOf;
-        for (const auto& value : progress) {
-            const JobId id(value.key.substr(records::progressPrefix.size()));
-            decode(value, [&] { progressOf[id] = decodeProgress(id, value.value); });
-        }
-        for (const auto& value : jobs) {
-            const JobId id(value.key.substr(records::jobPrefix.size()));
-            decode(value, [&] { m_coordinator.restoreJob(decodeJob(id, value.value), progressOf[id], now); });
-        }
-        for (const auto& value : waves) {
-            decode(value, [&] {
-                m_coordinator.restoreWave(
-                    WaveId(value.key.substr(records::wavePrefix.size())), decodeWave(value.value));
-            });
-        }
-        for (const auto& value : workers) {
-            const WorkerId id(value.key.substr(records::workerPrefix.size()));
-            decode(value, [&] {
-                auto record = decodeWorker(id, value.value);
-                m_coordinator.restoreWorker(record.entry, std::move(record.onlyRuns), now);
-            });
-        }
+        forEachStored(records::progressPrefix, [&](const std::string& name, const std::string& record) {
+            const JobId id(name);
+            progressOf[id] = decodeProgress(id, record);
+        });
+        forEachStored(records::jobPrefix, [&](const std::string& name, const std::string& record) {
+            const JobId id(name);
+            m_coordinator.restoreJob(decodeJob(id, record), progressOf[id], now);
+        });
+        forEachStored(records::queuePrefix, [&](const std::string& name, const std::string& record) {
+            m_coordinator.restoreQueue(QueueId(name), decodeQueue(record));
+        });
+        forEachStored(records::wavePrefix, [&](const std::string& name, const std::string& record) {
+            m_coordinator.restoreWave(WaveId(name), decodeWave(record));
+        });
+        forEachStored(records::workerPrefix, [&](const std::string& name, const std::string& value) {
+            auto record = decodeWorker(WorkerId(name), value);
+            m_coordinator.restoreWorker(record.entry, std::move(record.onlyRuns), now);
+        });
+        m_stored.clear();
         m_isLoaded = true;
         executeOrders();
         awaitWorkers();
     }
 
+    // Calls restore(name, record) for each record that was read of a kind. Skips those that do not parse.
+    template <typename Restore> void forEachStored(const std::string& prefix, Restore restore)
+    {
+        for (const auto& value : m_stored[prefix])
+            decode(value, [&] { restore(value.key.substr(prefix.size()), value.value); });
+    }
+
     template <typename Decoder> void decode(const StoredValue& value, Decoder decoder)
     {
         try {
@@ -466,6 +472,7 @@
     std::shared_ptr<StoreFollower<Platform>> m_workers;
     std::optional<EventLoop::Timer> m_timer;
     std::optional<EventLoop::Timer> m_reportTimer;
+    std::map<std::string, std::vector<StoredValue>> m_stored; // by prefix, until all records are read
     bool m_isLoaded { false };
     bool m_isReady { false };
     bool m_isExecutionScheduled { false };
--- a/include/marigoldlink/Protocol/JobCodec.h
+++ b/include/marigoldlink/Protocol/JobCodec.h
@@ -1,4 +1,4 @@
-// JSON encoding of the records of jobs, job progress, workers, entry instances and maintenance waves.
+// JSON encoding of the records of jobs, job progress, queues, workers, entry instances and maintenance waves.
 #pragma once
 
 #include "marigoldlink/Coordination/JobTable.h"
@@ -29,6 +29,13 @@
 std::string encodeWorker(const WorkerRecord&);
 WorkerRecord decodeWorker(const WorkerId&, const std::string& record);
 
+// Data on a queue that outlives a change of the configuration.
+struct QueueRecord {
+    std::set<ServiceId> services; // on which its jobs may have runs
+};
+std::string encodeQueue(const QueueRecord&);
+QueueRecord decodeQueue(const std::string& record);
+
 // Record of an entry instance: its processor cores, which may be fractional. A record without a valid value decodes to
 // 0, which ranks as the smallest.
 std::string encodeMember(double processors);
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -146,6 +146,9 @@
 void Coordinator::setOperators(const OperatorState& operators, TimePoint now)
 {
     m_operators = operators;
+    noteQueueServices();
+    if (!m_queuesToRecord.empty())
+        m_nextFlush = std::min(m_nextFlush, now);
     for (const auto& [id, job] : m_jobs.jobs()) {
         const auto found = operators.config.queues.find(job->spec.queue);
         if (found != operators.config.queues.end())
@@ -236,6 +239,8 @@
 
 void Coordinator::flushJobs(TimePoint now)
 {
+    for (const auto& id : std::exchange(m_queuesToRecord, {}))
+        m_journal.put(records::queue(id), encodeQueue({ m_queues.at(id).services }), RecordClass::Urgent);
     for (const auto& id : std::exchange(m_jobsToQueue, {})) {
         const auto* job = m_jobs.find(id);
         if (!job)
@@ -342,6 +347,8 @@
                 schedulePlacement(worker->entry.service);
             }
         }
+        if (key.starts_with(records::queuePrefix))
+            queueStored(QueueId(key.substr(records::queuePrefix.size())), value);
         const auto recordVersion = versions.find(key);
         if (recordVersion == versions.end())
             continue;
@@ -420,7 +427,9 @@
 {
     m_nextJobRemoval = now + s_jobRemovalPeriod;
     std::vector<JobId> old;
+    std::set<QueueId> queues;
     for (const auto& [id, job] : m_jobs.jobs()) {
+        queues.insert(job->spec.queue);
         if (job->endedAt && now - *job->endedAt > m_settings.statusRetention + s_jobRemovalPeriod && !job->isDirty())
             old.push_back(id);
     }
@@ -429,6 +438,7 @@
         m_journal.remove(records::progress(id));
         m_jobs.remove(id);
     }
+    removeUnusedQueues(queues);
 }
 
 void Coordinator::resendStops(TimePoint now)
--- /dev/null
+++ b/lib/Entry/CoordinatorQueues.cpp
@@ -0,0 +1,69 @@
+// Coordinator: the services on which the jobs of each queue may have runs.
+//
+// Operators may give a queue another service while its jobs run. The record of a queue names all its services, so that
+// a successor that cannot reach a worker of an earlier one does not start that worker's tasks again.
+#include "marigoldlink/Entry/Coordinator.h"
+
+#include <algorithm>
+
+namespace marigoldlink {
+
+void Coordinator::restoreQueue(const QueueId& id, const QueueRecord& record)
+{
+    auto& queue = m_queues[id];
+    queue.isRestored = true;
+    queue.stored = record.services;
+    queue.services.insert(record.services.begin(), record.services.end());
+    if (queue.services == queue.stored)
+        m_queuesToRecord.erase(id);
+    else
+        m_queuesToRecord.insert(id);
+}
+
+void Coordinator::noteQueueServices()
+{
+    for (const auto& [id, queue] : m_operators.config.queues) {
+        if (m_queues[id].services.insert(queue.service).second)
+            m_queuesToRecord.insert(id);
+    }
+}
+
+void Coordinator::queueStored(const QueueId& id, const std::string& record)
+{
+    const auto queue = m_queues.find(id);
+    if (queue == m_queues.end())
+        return;
+    queue->second.stored = decodeQueue(record).services;
+    scheduleFullPlacement();
+}
+
+void Coordinator::removeUnusedQueues(const std::set<QueueId>& used)
+{
+    std::erase_if(m_queues, [&](const auto& entry) {
+        const auto& id = entry.first;
+        if (used.contains(id) || m_operators.config.queues.contains(id))
+            return false;
+        m_queuesToRecord.erase(id);
+        m_journal.remove(records::queue(id));
+        return true;
+    });
+}
+
+bool Coordinator::isServiceRecorded(const Job& job) const
+{
+    const auto queue = m_queues.find(job.spec.queue);
+    return queue != m_queues.end() && queue->second.stored.contains(job.queue.service);
+}
+
+bool Coordinator::mayHaveRunsOn(const Job& job, const std::set<ServiceId>& services) const
+{
+    if (job.wasAcceptedHere || services.empty())
+        return false;
+    const auto queue = m_queues.find(job.spec.queue);
+    if (queue == m_queues.end() || !queue->second.isRestored)
+        return true;
+    return std::any_of(services.begin(), services.end(),
+        [&queue](const ServiceId& service) { return queue->second.services.contains(service); });
+}
+
+} // namespace marigoldlink
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -81,7 +81,7 @@
     Placement placement(
         m_jobs, m_workers, m_operators.config, m_use, m_advice,
         [this, now](const Worker& worker) { return isUsable(worker, now); },
-        [&earlier](const Job& job) { return job.wasAcceptedHere || !earlier.services.contains(job.queue.service); });
+        [this, &earlier](const Job& job) { return isServiceRecorded(job) && !mayHaveRunsOn(job, earlier.services); });
     placement.setBlockedTasks(std::move(earlier.tasks));
     placement.setOnlyNeverStarted(!isLeaseValid(now));
     if (!m_mustPlaceAllServices)
--- a/lib/Protocol/JobCodec.cpp
+++ b/lib/Protocol/JobCodec.cpp
@@ -192,6 +192,24 @@
     });
 }
 
+std::string encodeQueue(const QueueRecord& record)
+{
+    Json json { { "services", Json::array() } };
+    for (const auto& service : record.services)
+        json["services"].push_back(service.value());
+    return json.dump();
+}
+
+QueueRecord decodeQueue(const std::string& record)
+{
+    return parseRecord(record, "queue record", [](const Json& json) {
+        QueueRecord queue;
+        for (const auto& service : json.at("services"))
+            queue.services.insert(ServiceId(service.get<std::string>()));
+        return queue;
+    });
+}
+
 std::string encodeMember(double processors) { return Json { { "processors", processors } }.dump(); }
 
 double decodeMember(const std::string& record)
--- a/unittests/Entry/FleetModel.cpp
+++ b/unittests/Entry/FleetModel.cpp
@@ -190,6 +190,8 @@
             const auto progress = m_records.find(records::progress(id));
             node.coordinator->restoreJob(decodeJob(id, value),
                 progress == m_records.end() ? JobProgress {} : decodeProgress(id, progress->second), m_now);
+        } else if (key.starts_with(records::queuePrefix)) {
+            node.coordinator->restoreQueue(QueueId(key.substr(records::queuePrefix.size())), decodeQueue(value));
         } else if (key.starts_with(records::workerPrefix)) {
             const auto record = decodeWorker(WorkerId(key.substr(records::workerPrefix.size())), value);
             node.coordinator->restoreWorker(record.entry, record.onlyRuns, m_now);
--- a/unittests/Entry/SubmissionsTest.cpp
+++ b/unittests/Entry/SubmissionsTest.cpp
@@ -39,6 +39,7 @@
     {
         CoordinatorHarness fleet;
         fleet.coordinator.finishRestore(fleet.now);
+        fleet.settle(); // stores the record of the queue
         fleet.coordinator.submit(CallToken(1), CoordinatorHarness::job("a"), fleet.now);
         for (int i = 0; i < 9; ++i) {
             fleet.run(Duration(100));
--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -341,6 +341,8 @@
                 const auto progress = stored.find(records::progress(id));
                 fleet.coordinator.restoreJob(decodeJob(id, value),
                     progress == stored.end() ? JobProgress {} : decodeProgress(id, progress->second), fleet.now);
+            } else if (key.starts_with(records::queuePrefix)) {
+                fleet.coordinator.restoreQueue(QueueId(key.substr(records::queuePrefix.size())), decodeQueue(value));
             } else if (key.starts_with(records::workerPrefix)) {
                 const auto record = decodeWorker(WorkerId(key.substr(records::workerPrefix.size())), value);
                 fleet.coordinator.restoreWorker(record.entry, record.onlyRuns, fleet.now);
@@ -400,6 +402,118 @@
         EXPECT_EQ(second.coordinator.jobs().activeJobs().size(), 0u);
     }
 
+    // The queue of a running job gets another service, whose workers a successor reaches, while it does not reach the
+    // worker of the former service.
+    class TakeoverAfterAChangeOfService : public testing::Test {
+    protected:
+        TakeoverAfterAChangeOfService()
+        {
+            first.addWorker("w1");
+            first.run(Duration(5));
+            first.answerPolls();
+            first.coordinator.finishRestore(first.now);
+            first.coordinator.submit(CallToken(1), CoordinatorHarness::job("a"), first.now);
+            for (int i = 0; i < 4; ++i) {
+                first.run(Duration(60));
+                storeBatch(first, stored);
+            }
+            first.run(Duration(5));
+            EXPECT_THAT(first.starts, SizeIs(1));
+            first.answerStarts();
+        }
+
+        static void changeService(CoordinatorHarness& fleet)
+        {
+            const ServiceId lanes("lanes");
+            fleet.operators.config.version = 2;
+            fleet.operators.config.pools.emplace(lanes, WorkerPool { lanes, false, false });
+            fleet.operators.config.queues.at(QueueId("checks")).service = lanes;
+            fleet.coordinator.setOperators(fleet.operators, fleet.now);
+        }
+
+        static void addLanesWorker(CoordinatorHarness& fleet, const std::string& id)
+        {
+            auto entry = fleet.addWorker(id);
+            entry.service = ServiceId("lanes");
+            fleet.coordinator.workerEntry(entry, fleet.now);
+        }
+
+        // Returns the time from a takeover, on the records as they are stored, to the first start.
+        Duration timeToStart()
+        {
+            CoordinatorHarness second({ 20, 2 });
+            const auto since = second.now;
+            changeService(second);
+            addLanesWorker(second, "w2");
+            restore(second, stored);
+            second.takeOverWithout("w1", "w2");
+            second.waitForStarts(1, Duration(15000), "w1", "w2");
+            return second.now - since;
+        }
+
+        // By then every lease that a predecessor may have granted has expired: 4 s in which it may order, and a lease
+        // of 3 s on a clock that is 2% slow.
+        static constexpr Duration leasesExpireAfter { 7061 };
+
+        std::map<std::string, std::string> stored;
+        CoordinatorHarness first;
+    };
+
+    // Guards against TWICE violations (review/4): a successor searched for the runs of a job on the present service of
+    // its queue only.
+    TEST_F(TakeoverAfterAChangeOfService, ATaskOnTheFormerServiceIsNotStartedOnTheNewOne)
+    {
+        EXPECT_GE(timeToStart(), leasesExpireAfter) << "the successor is the first to see the change";
+        changeService(first);
+        first.run(Duration(60));
+        storeBatch(first, stored);
+        EXPECT_GE(timeToStart(), leasesExpireAfter) << "the predecessor has seen the change";
+    }
+
+    TEST_F(TakeoverAfterAChangeOfService, WithoutARecordTheJobMayHaveRunsOnAnyService)
+    {
+        std::erase_if(stored, [](const auto& record) { return record.first.starts_with(records::queuePrefix); });
+        EXPECT_GE(timeToStart(), leasesExpireAfter) << "an earlier version stored no records of queues";
+    }
+
+    // A successor would not know where to look for runs that were started before the record was stored.
+    TEST_F(TakeoverAfterAChangeOfService, NothingStartsOnTheNewServiceBeforeItsRecordIsStored)
+    {
+        addLanesWorker(first, "w2");
+        first.run(Duration(5));
+        first.answerPolls();
+        first.settle();
+        first.answerPolls({}, {}, "w1");
+        changeService(first);
+        first.answerPolls({}, { { 1, CoordinatorHarness::task("a"), RunNumber(1), RunEnd::Stopped, "" } }, "w1");
+        first.run(Duration(1000));
+        EXPECT_THAT(first.starts, IsEmpty());
+        ASSERT_TRUE(first.batch);
+        storeBatch(first, stored);
+        first.run(Duration(5));
+        ASSERT_THAT(first.starts, SizeIs(1));
+        EXPECT_EQ(first.starts[0].worker.id, WorkerId("w2"));
+    }
+
+    TEST_F(TakeoverAfterAChangeOfService, TheRecordOfAQueueLastsAsLongAsItsJobs)
+    {
+        const auto key = records::queue(QueueId("checks"));
+        const auto pass = [this] {
+            for (int i = 0; i < 300; ++i) {
+                first.run(Duration(50));
+                storeBatch(first, stored);
+            }
+        };
+        first.operators.config.queues.clear();
+        first.coordinator.setOperators(first.operators, first.now);
+        pass();
+        EXPECT_TRUE(stored.contains(key)) << "the job is active";
+        first.coordinator.cancel(CallToken(2), JobId("a"), first.now);
+        for (int i = 0; i < 10; ++i)
+            pass();
+        EXPECT_FALSE(stored.contains(key));
+    }
+
     // Registry entries expire during an outage of the store. Guards against a successor that does not know of a worker
     // that is still running a task.
     TEST(Takeover, RecordedWorkerOutsideTheRegistryStillBlocksItsTasks)
