Ignore the answer to a move that is over

A move ends when the list of instances shows it or when it is given up, which may be before its call is answered.

An answer now belongs to a maintenance call only if one is in flight for the instance. An accepted move that is over still makes the coordinator look at the list, as its worker may have ended.

Measured: Entry.Moves.ALateAnswerToAMoveIsNotTakenForMaintenance failed before (no maintenance within 500 ms) and passes now.

--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -215,8 +215,8 @@
 void Coordinator::instanceAnswered(const std::string& instance, InstanceAnswer answer, TimePoint now)
 {
     m_nextTick = now;
-    const bool isMove = m_moves.contains(instance);
     const auto inFlight = m_maintenanceInFlight.extract(instance);
+    const bool isMove = !inFlight;
     const auto wave = inFlight ? inFlight.mapped() : WaveId();
     if (answer == InstanceAnswer::StaleFence) {
         m_isSuperseded = true;
@@ -224,6 +224,12 @@
         return;
     }
     const auto found = m_instances.find(instance);
+    if (isMove && !m_moves.contains(instance)) {
+        // The list of instances has shown the end of the move, or the move was given up, before this answer.
+        if (answer == InstanceAnswer::Done && found != m_instances.end())
+            workerMayHaveEnded(found->second, now);
+        return;
+    }
     if (answer == InstanceAnswer::Done) {
         if (isMove && found != m_instances.end())
             moveAccepted(found->second, m_moves.at(instance).pool, now);
--- a/unittests/Entry/MovesTest.cpp
+++ b/unittests/Entry/MovesTest.cpp
@@ -56,6 +56,33 @@
         EXPECT_THAT(fleet.starts, SizeIs(1));
     }
 
+    // The answer to a move that was over before was taken for one to a maintenance call, so the instance counted as
+    // under maintenance, and before waves were named in answers as maintained for each wave.
+    TEST_F(Moves, ALateAnswerToAMoveIsNotTakenForMaintenance)
+    {
+        ASSERT_THAT(fleet.moves, SizeIs(1));
+        fleet.operators.config.pools.erase(ServiceId("office")); // no further moves
+        fleet.coordinator.setOperators(fleet.operators, fleet.now);
+        for (int i = 0; i < 70; ++i) {
+            fleet.run(Duration(50));
+            fleet.answerPolls();
+            fleet.coordinator.instancesListed({ instance }, fleet.now);
+        }
+        MaintenanceWave wave;
+        wave.id = WaveId("1");
+        wave.number = 1;
+        wave.instances = { instance.id };
+        fleet.operators.waves[wave.id] = wave;
+        fleet.coordinator.setOperators(fleet.operators, fleet.now);
+        fleet.coordinator.instanceAnswered("m-1", InstanceAnswer::Done, fleet.now);
+        for (int i = 0; i < 10; ++i) {
+            fleet.run(Duration(50));
+            fleet.answerPolls();
+            fleet.coordinator.instancesListed({ instance }, fleet.now);
+        }
+        EXPECT_THAT(fleet.maintenance, SizeIs(1)) << "the instance is not under maintenance";
+    }
+
     // Guards against excessive list requests when hundreds of instances change their pool within seconds: each accepted
     // move triggered a full read of the list, 13,900 pages in one day on a large deployment.
     TEST(MovesOfManyInstances, TheListIsReadAFewTimesASecond)
