Deny a job to its cancelling client only while no successor can know it

Cause: a coordinator answered that a job does not exist whenever it did not know the job. A former coordinator in a cut-off zone does not learn of its successor, which may have accepted the job, until the cut ends. Looks and counts were already held back without a valid election lease, cancels were not.

Measured: Entry.Cancelling.AnUnknownJobIsNotDeniedOnceThereMayBeASuccessor failed before.

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -82,6 +82,7 @@
     // Replies Refused if the job's record cannot be stored within the given time, in which the caller needs the reply.
     // nullopt: no limit by the caller.
     void submit(CallToken, JobSpec, TimePoint now, std::optional<Duration> wait = std::nullopt);
+    // Replies UnknownJob only while no other coordinator can have accepted the job, else NotCoordinator.
     void cancel(CallToken, const JobId&, TimePoint now);
     Reply jobStatus(const JobId&) const;
     Reply waiting(const QueueId&) const;
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -198,7 +198,12 @@
 {
     auto* job = m_jobs.find(id);
     if (!job) {
-        m_orders.emplace_back(ReplyOrder { token, { Reply::Kind::UnknownJob, {}, 0, {} } });
+        // A successor may have accepted the job, so a negative answer requires that there is none.
+        const bool isCertain = isLeaseValid(now);
+        if (isCertain)
+            log("job", id.value(), "cancelling: unknown job, term " + std::to_string(m_term.number));
+        const auto kind = isCertain ? Reply::Kind::UnknownJob : Reply::Kind::NotCoordinator;
+        m_orders.emplace_back(ReplyOrder { token, { kind, {}, 0, {} } });
         return;
     }
     if (m_jobs.cancel(id, now)) {
--- a/unittests/Entry/FleetModel.cpp
+++ b/unittests/Entry/FleetModel.cpp
@@ -62,6 +62,22 @@
     m_tokens[CallToken(m_nextToken++)] = spec.id;
 }
 
+void FleetModel::cancel()
+{
+    std::vector<NodePtr> nodes;
+    for (const auto& node : m_nodes) {
+        if (!node->isGone && !node->isPaused && node->isRestored)
+            nodes.push_back(node);
+    }
+    if (nodes.empty() || m_accepted.empty())
+        return;
+    const auto job = m_choices.pick(m_accepted);
+    if (m_specs.at(job).steps[0].isService)
+        return;
+    m_cancelTokens[CallToken(m_nextToken)] = job;
+    m_choices.pick(nodes)->coordinator->cancel(CallToken(m_nextToken++), job, m_now);
+}
+
 std::vector<JobId> FleetModel::unfinished() const
 {
     std::vector<JobId> open;
@@ -125,6 +141,8 @@
     const auto draw = m_choices.below(400);
     if (draw < 8)
         submit();
+    if (draw >= 18 && draw < 21)
+        cancel();
     auto* owner = currentOwner();
     if (draw == 10 && m_faults.pausesOwners && owner)
         owner->isPaused = true, addTrace("owner paused");
@@ -329,6 +347,11 @@
 
 void FleetModel::send(const NodePtr&, const ReplyOrder& order)
 {
+    if (const auto cancelled = m_cancelTokens.find(order.token); cancelled != m_cancelTokens.end()) {
+        if (order.reply.kind == Reply::Kind::Cancelled || order.reply.kind == Reply::Kind::UnknownJob)
+            m_cancelledAt.try_emplace(cancelled->second, m_now);
+        return;
+    }
     const auto found = m_tokens.find(order.token);
     if (found == m_tokens.end())
         return;
--- a/unittests/Entry/FleetModel.h
+++ b/unittests/Entry/FleetModel.h
@@ -63,6 +63,8 @@
     void clearFaults();
 
     void submit();
+    // Cancels an accepted job at any coordinator, which may have been replaced without knowing.
+    void cancel();
 
     const std::string& violation() const { return m_violation; }
     // Event trace, to analyse a seed that violates a rule.
@@ -92,6 +94,8 @@
     // A worker lists this many ends in one answer, few enough that most takeovers find some that are left out.
     static constexpr std::size_t s_maxListedEnds = 2;
     static constexpr Duration s_maxLease = CoordinatorSettings {}.maxLease;
+    // After its cancelling was acknowledged, a job may have starts for this long (hosting platform's bounds).
+    static constexpr Duration s_cancelBound { 3000 };
     static constexpr Duration ownerTtl { 1200 };
     static constexpr Duration answerTimeout { 600 };
 
@@ -233,7 +237,9 @@
     TimePoint m_ownerUntil;
 
     std::map<JobId, JobSpec> m_specs;
-    std::map<CallToken, JobId> m_tokens;
+    std::map<CallToken, JobId> m_tokens; // of submissions
+    std::map<CallToken, JobId> m_cancelTokens;
+    std::map<JobId, TimePoint> m_cancelledAt; // when the cancelling was acknowledged
     std::set<JobId> m_accepted;
     std::set<JobId> m_refused;
     std::set<TaskKey> m_acknowledgedDone;
--- a/unittests/Entry/FleetModelWorkers.cpp
+++ b/unittests/Entry/FleetModelWorkers.cpp
@@ -59,6 +59,9 @@
         if (worker.running.contains(order.task))
             recordViolation("TWICE: " + order.task.text() + " is running on " + id.value() + " already");
     }
+    const auto cancelled = m_cancelledAt.find(order.task.job);
+    if (cancelled != m_cancelledAt.end() && m_now > cancelled->second + s_cancelBound && !m_isOrderLate)
+        recordViolation("UNASKED: " + order.task.text() + " started after its job's cancelling was acknowledged");
     if (m_refused.contains(order.task.job))
         recordViolation("REFUSED: " + order.task.text() + " started although its job was refused");
     if (m_acknowledgedDone.contains(order.task))
--- a/unittests/Entry/SubmissionsTest.cpp
+++ b/unittests/Entry/SubmissionsTest.cpp
@@ -51,6 +51,22 @@
         EXPECT_FALSE(fleet.batch && !fleet.batch->puts.empty());
     }
 
+    // Guards against UNASKED violations (review/3): a former coordinator that was cut off answered that a job which its
+    // successor had accepted did not exist, and the job went on after its cancelling.
+    TEST(Cancelling, AnUnknownJobIsNotDeniedOnceThereMayBeASuccessor)
+    {
+        CoordinatorHarness fleet;
+        fleet.begin({ "w1" });
+        fleet.coordinator.setLeaseValidUntil(fleet.now + Duration(1000));
+        fleet.coordinator.cancel(CallToken(1), JobId("a"), fleet.now);
+        fleet.run(Duration(1100));
+        fleet.coordinator.cancel(CallToken(2), JobId("a"), fleet.now);
+        fleet.run(Duration(5));
+        ASSERT_THAT(fleet.replies, SizeIs(2));
+        EXPECT_EQ(fleet.replies[0].reply.kind, Reply::Kind::UnknownJob);
+        EXPECT_EQ(fleet.replies[1].reply.kind, Reply::Kind::NotCoordinator);
+    }
+
     // Guards against submissions that end as unknown shortly before the caller's deadline. A caller that had been
     // refused before came back with little time left; its record waited behind hundreds of others, and the entry
     // instance gave up while the coordinator still held the submission. Such a caller must not try again.
