Run jobs on whose queue was removed before a change of coordinator

Cause: the settings of a job's queue come from the configuration. A coordinator keeps the last ones it has seen, a successor knows only the present configuration. Without its queue the job had no service.

The record of a queue now also holds the queue's settings in the last configuration that contained it, and a successor restores the queues before the jobs. The record is kept while there are jobs of the queue. Not covered: a removal that takes effect before a coordinator of this version has stored the record.

Ruled out: the job not being restored (in the test it is active at the successor, and nothing of it starts).

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -65,6 +65,7 @@
 
     // Restore the stored state. To be called before the first tick.
     void restoreJob(JobSpec, const JobProgress&, TimePoint now);
+    // To be called for all queues before any job is restored.
     void restoreQueue(const QueueId&, const QueueRecord&);
     void restoreWave(const WaveId&, std::set<std::string> finished);
     // onlyRuns: as in WorkerRecord.
@@ -131,8 +132,8 @@
     const JobQueue& queueOf(const JobSpec&) const;
 
     // Queues.
-    // Adds the services of the present configuration to those on which each queue's jobs may have runs.
-    void noteQueueServices();
+    // Notes the queues of the present configuration and their services, for their records.
+    void noteQueues();
     void queueStored(const QueueId&, const std::string& record);
     // Removes the queues that are neither in the configuration nor in the given set.
     void removeUnusedQueues(const std::set<QueueId>& used);
@@ -284,6 +285,7 @@
         std::set<ServiceId> stored; // those that the stored record names; a subset of the above
         // A predecessor's record was read. Without one, the services on which it started tasks are not known.
         bool isRestored { false };
+        std::optional<JobQueue> settings; // from the last configuration that contained it
     };
     std::map<QueueId, KnownQueue> m_queues;
     std::set<QueueId> m_queuesToRecord; // queues whose record is not yet queued in the journal
--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -157,6 +157,10 @@
     void loaded()
     {
         const auto now = m_loop.now();
+        forEachStored(records::queuePrefix, [&](const std::string& name, const std::string& record) {
+            const QueueId id(name);
+            m_coordinator.restoreQueue(id, decodeQueue(id, record));
+        });
         std::map<JobId, JobProgress> progressOf;
         forEachStored(records::progressPrefix, [&](const std::string& name, const std::string& record) {
             const JobId id(name);
@@ -166,9 +170,6 @@
             const JobId id(name);
             m_coordinator.restoreJob(decodeJob(id, record), progressOf[id], now);
         });
-        forEachStored(records::queuePrefix, [&](const std::string& name, const std::string& record) {
-            m_coordinator.restoreQueue(QueueId(name), decodeQueue(record));
-        });
         forEachStored(records::wavePrefix, [&](const std::string& name, const std::string& record) {
             m_coordinator.restoreWave(WaveId(name), decodeWave(record));
         });
--- a/include/marigoldlink/Protocol/JobCodec.h
+++ b/include/marigoldlink/Protocol/JobCodec.h
@@ -32,9 +32,12 @@
 // Data on a queue that outlives a change of the configuration.
 struct QueueRecord {
     std::set<ServiceId> services; // on which its jobs may have runs
+    // How its jobs run, from the last configuration that contained it. Without what only calls need. nullopt: not
+    // recorded by an earlier version.
+    std::optional<JobQueue> queue;
 };
 std::string encodeQueue(const QueueRecord&);
-QueueRecord decodeQueue(const std::string& record);
+QueueRecord decodeQueue(const QueueId&, const std::string& record);
 
 // Record of an entry instance: its processor cores, which may be fractional. A record without a valid value decodes to
 // 0, which ranks as the smallest.
--- a/include/marigoldlink/State/Fleet.h
+++ b/include/marigoldlink/State/Fleet.h
@@ -28,6 +28,8 @@
     bool needsAdvice { false }; // each start needs a ticket from the advice service
     Duration adviceBaseLatency { 0 }; // expected latency of an advice call without workers
     Duration adviceLatencyPerWorker { 0 }; // additional latency for each worker in the call
+
+    friend bool operator==(const JobQueue&, const JobQueue&) = default;
 };
 
 // The worker pool of a service.
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -109,8 +109,11 @@
 const JobQueue& Coordinator::queueOf(const JobSpec& spec) const
 {
     static const JobQueue unknown;
-    const auto found = m_operators.config.queues.find(spec.queue);
-    return found == m_operators.config.queues.end() ? unknown : found->second;
+    if (const auto found = m_operators.config.queues.find(spec.queue); found != m_operators.config.queues.end())
+        return found->second;
+    // Jobs run on after their queue was removed from the configuration.
+    const auto recorded = m_queues.find(spec.queue);
+    return recorded != m_queues.end() && recorded->second.settings ? *recorded->second.settings : unknown;
 }
 
 void Coordinator::restoreJob(JobSpec spec, const JobProgress& progress, TimePoint now)
@@ -146,7 +149,7 @@
 void Coordinator::setOperators(const OperatorState& operators, TimePoint now)
 {
     m_operators = operators;
-    noteQueueServices();
+    noteQueues();
     if (!m_queuesToRecord.empty())
         m_nextFlush = std::min(m_nextFlush, now);
     for (const auto& [id, job] : m_jobs.jobs()) {
@@ -245,7 +248,8 @@
 void Coordinator::flushJobs(TimePoint now)
 {
     for (const auto& id : std::exchange(m_queuesToRecord, {}))
-        m_journal.put(records::queue(id), encodeQueue({ m_queues.at(id).services }), RecordClass::Urgent);
+        m_journal.put(records::queue(id), encodeQueue({ m_queues.at(id).services, m_queues.at(id).settings }),
+            RecordClass::Urgent);
     for (const auto& id : std::exchange(m_jobsToQueue, {})) {
         const auto* job = m_jobs.find(id);
         if (!job)
--- a/lib/Entry/CoordinatorQueues.cpp
+++ b/lib/Entry/CoordinatorQueues.cpp
@@ -1,7 +1,8 @@
-// Coordinator: the services on which the jobs of each queue may have runs.
+// Coordinator: what it knows of queues beyond the present configuration.
 //
-// Operators may give a queue another service while its jobs run. The record of a queue names all its services, so that
-// a successor that cannot reach a worker of an earlier one does not start that worker's tasks again.
+// Operators may give a queue another service, or remove it, while its jobs run. The record of a queue names all its
+// services, so that a successor that cannot reach a worker of an earlier one does not start that worker's tasks again.
+// It also holds the queue's last settings, with which a successor runs the jobs of a removed queue.
 #include "marigoldlink/Entry/Coordinator.h"
 
 #include <algorithm>
@@ -14,17 +15,24 @@
     queue.isRestored = true;
     queue.stored = record.services;
     queue.services.insert(record.services.begin(), record.services.end());
-    if (queue.services == queue.stored)
+    if (!queue.settings)
+        queue.settings = record.queue;
+    const QueueRecord current { queue.services, queue.settings };
+    if (encodeQueue(current) == encodeQueue(record))
         m_queuesToRecord.erase(id);
     else
         m_queuesToRecord.insert(id);
 }
 
-void Coordinator::noteQueueServices()
+void Coordinator::noteQueues()
 {
-    for (const auto& [id, queue] : m_operators.config.queues) {
-        if (m_queues[id].services.insert(queue.service).second)
-            m_queuesToRecord.insert(id);
+    for (const auto& [id, configured] : m_operators.config.queues) {
+        auto& queue = m_queues[id];
+        const bool hasNewService = queue.services.insert(configured.service).second;
+        if (!hasNewService && queue.settings == configured)
+            continue;
+        queue.settings = configured;
+        m_queuesToRecord.insert(id);
     }
 }
 
@@ -33,7 +41,7 @@
     const auto queue = m_queues.find(id);
     if (queue == m_queues.end())
         return;
-    queue->second.stored = decodeQueue(record).services;
+    queue->second.stored = decodeQueue(id, record).services;
     scheduleFullPlacement();
 }
 
--- a/lib/Protocol/JobCodec.cpp
+++ b/lib/Protocol/JobCodec.cpp
@@ -197,16 +197,34 @@
     Json json { { "services", Json::array() } };
     for (const auto& service : record.services)
         json["services"].push_back(service.value());
+    if (const auto& queue = record.queue) {
+        json["service"] = queue->service.value();
+        json["priority"] = queue->priority;
+        json["attempts"] = queue->maxTaskFailures;
+        json["objective_factor"] = queue->objectiveFactor;
+        json["objective_allowance_ms"] = queue->objectiveAllowance.count();
+        json["advice"] = queue->needsAdvice;
+    }
     return json.dump();
 }
 
-QueueRecord decodeQueue(const std::string& record)
+QueueRecord decodeQueue(const QueueId& id, const std::string& record)
 {
-    return parseRecord(record, "queue record", [](const Json& json) {
-        QueueRecord queue;
+    return parseRecord(record, "queue record", [&id](const Json& json) {
+        QueueRecord decoded;
         for (const auto& service : json.at("services"))
-            queue.services.insert(ServiceId(service.get<std::string>()));
-        return queue;
+            decoded.services.insert(ServiceId(service.get<std::string>()));
+        if (!json.contains("service"))
+            return decoded;
+        auto& queue = decoded.queue.emplace();
+        queue.id = id;
+        queue.service = ServiceId(json.at("service").get<std::string>());
+        queue.priority = json.value("priority", 0);
+        queue.maxTaskFailures = json.value("attempts", 1);
+        queue.objectiveFactor = json.value("objective_factor", 1.0);
+        queue.objectiveAllowance = Duration(json.value<std::int64_t>("objective_allowance_ms", 0));
+        queue.needsAdvice = json.value("advice", false);
+        return decoded;
     });
 }
 
--- a/unittests/Entry/FleetModel.cpp
+++ b/unittests/Entry/FleetModel.cpp
@@ -202,14 +202,18 @@
 
 void FleetModel::load(Node& node)
 {
+    for (const auto& [key, value] : m_records) {
+        if (!key.starts_with(records::queuePrefix))
+            continue;
+        const QueueId id(key.substr(records::queuePrefix.size()));
+        node.coordinator->restoreQueue(id, decodeQueue(id, value));
+    }
     for (const auto& [key, value] : m_records) {
         if (key.starts_with(records::jobPrefix)) {
             const JobId id(key.substr(records::jobPrefix.size()));
             const auto progress = m_records.find(records::progress(id));
             node.coordinator->restoreJob(decodeJob(id, value),
                 progress == m_records.end() ? JobProgress {} : decodeProgress(id, progress->second), m_now);
-        } else if (key.starts_with(records::queuePrefix)) {
-            node.coordinator->restoreQueue(QueueId(key.substr(records::queuePrefix.size())), decodeQueue(value));
         } else if (key.starts_with(records::workerPrefix)) {
             const auto record = decodeWorker(WorkerId(key.substr(records::workerPrefix.size())), value);
             node.coordinator->restoreWorker(record.entry, record.onlyRuns, m_now);
--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -335,14 +335,18 @@
 
     void restore(CoordinatorHarness& fleet, const std::map<std::string, std::string>& stored)
     {
+        for (const auto& [key, value] : stored) {
+            if (!key.starts_with(records::queuePrefix))
+                continue;
+            const QueueId id(key.substr(records::queuePrefix.size()));
+            fleet.coordinator.restoreQueue(id, decodeQueue(id, value));
+        }
         for (const auto& [key, value] : stored) {
             if (key.starts_with(records::jobPrefix)) {
                 const JobId id(key.substr(records::jobPrefix.size()));
                 const auto progress = stored.find(records::progress(id));
                 fleet.coordinator.restoreJob(decodeJob(id, value),
                     progress == stored.end() ? JobProgress {} : decodeProgress(id, progress->second), fleet.now);
-            } else if (key.starts_with(records::queuePrefix)) {
-                fleet.coordinator.restoreQueue(QueueId(key.substr(records::queuePrefix.size())), decodeQueue(value));
             } else if (key.starts_with(records::workerPrefix)) {
                 const auto record = decodeWorker(WorkerId(key.substr(records::workerPrefix.size())), value);
                 fleet.coordinator.restoreWorker(record.entry, record.onlyRuns, fleet.now);
@@ -514,6 +518,48 @@
         EXPECT_FALSE(stored.contains(key));
     }
 
+    // Guards against LOST violations (review/2): a job whose queue operators had removed ran on only until its
+    // coordinator ended, since its successor did not know the queue's service.
+    TEST(Takeover, AJobOfARemovedQueueRunsOn)
+    {
+        std::map<std::string, std::string> stored;
+        const auto removeQueues = [](CoordinatorHarness& fleet) {
+            fleet.operators.config.version = 2;
+            fleet.operators.config.queues.clear();
+            fleet.coordinator.setOperators(fleet.operators, fleet.now);
+        };
+        const auto runAndStore = [&stored](CoordinatorHarness& fleet) {
+            for (int i = 0; i < 4; ++i) {
+                fleet.run(Duration(60));
+                storeBatch(fleet, stored);
+            }
+        };
+        CoordinatorHarness first;
+        first.addWorker("w1");
+        first.run(Duration(5));
+        first.answerPolls();
+        first.coordinator.finishRestore(first.now);
+        first.coordinator.submit(CallToken(1), CoordinatorHarness::job("a"), first.now);
+        runAndStore(first);
+        ASSERT_THAT(first.starts, SizeIs(1));
+        removeQueues(first);
+        runAndStore(first);
+
+        // Two takeovers: the record must outlast the first one.
+        for (std::uint64_t term = 2; term <= 3; ++term) {
+            CoordinatorHarness successor({ 10 * (term + 1), term });
+            removeQueues(successor);
+            restore(successor, stored);
+            successor.addWorker("w1");
+            successor.run(Duration(5));
+            successor.answerPolls({}, { { 1, CoordinatorHarness::task("a"), RunNumber(1), RunEnd::Failed, "" } });
+            successor.coordinator.finishRestore(successor.now);
+            runAndStore(successor);
+            ASSERT_THAT(successor.starts, SizeIs(1)) << "one of two attempts is left";
+            EXPECT_EQ(successor.coordinator.jobs().find(JobId("a"))->queue.objectiveAllowance, Duration(600));
+        }
+    }
+
     // Registry entries expire during an outage of the store. Guards against a successor that does not know of a worker
     // that is still running a task.
     TEST(Takeover, RecordedWorkerOutsideTheRegistryStillBlocksItsTasks)
