--- a/lib/Coordination/MaintenancePlanner.cpp
+++ b/lib/Coordination/MaintenancePlanner.cpp
@@ -99,9 +99,8 @@
         std::vector<Waiting> waiting;
         for (const auto& instance : state.wave.instances) {
             const auto found = instances.find(instance);
-            if (const auto call = m_underMaintenance.find(instance);
-                call != m_underMaintenance.end() && call->second.wave == id && call->second.retryAt
-                && *call->second.retryAt <= now)
+            if (const auto call = m_underMaintenance.find(instance); call != m_underMaintenance.end()
+                && call->second.wave == id && call->second.retryAt && *call->second.retryAt <= now)
                 steps.push_back({ id, state.wave.number, instance });
             if (state.finished.contains(instance) || m_underMaintenance.contains(instance) || found == instances.end()
                 || found->second.state != InstanceState::Up)
