--- a/unittests/Entry/CoordinatorHarness.h
+++ b/unittests/Entry/CoordinatorHarness.h
@@ -9,6 +9,10 @@
 
 class CoordinatorHarness {
 public:
+    // This long after a takeover every lease that a predecessor may have granted has expired: 4 s in which it may
+    // order, and a lease of 3 s on a clock that is 2% slow.
+    static constexpr Duration leasesExpireAfter { 7061 };
+
     explicit CoordinatorHarness(Term term = { 10, 1 }, CoordinatorSinks sinks = {}, CoordinatorSettings settings = {})
         : coordinator(std::move(settings), term, Journal(Revision(1)), now, std::move(sinks))
     {
--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -56,10 +56,6 @@
             return { number, CoordinatorHarness::task("a", number - 1), RunNumber(1), RunEnd::Done, "" };
         }
 
-        // By then every lease that a predecessor may have granted has expired: 4 s in which it may order, and a lease
-        // of 3 s on a clock that is 2% slow.
-        static constexpr Duration leasesExpireAfter { 7061 };
-
         CoordinatorHarness fleet;
         TimePoint tookOverAt;
     };
@@ -94,13 +90,13 @@
             fleet.failPolls("w1");
             fleet.run(Duration(50));
             fleet.answerPolls({}, {}, "w2");
-            if (fleet.batch && fleet.now < tookOverAt + leasesExpireAfter) {
+            if (fleet.batch && fleet.now < tookOverAt + CoordinatorHarness::leasesExpireAfter) {
                 for (const auto& [key, value] : fleet.batch->puts)
                     stored[key] = value;
             }
             fleet.answerJournal();
         }
-        EXPECT_GE(fleet.now - tookOverAt, leasesExpireAfter);
+        EXPECT_GE(fleet.now - tookOverAt, CoordinatorHarness::leasesExpireAfter);
         EXPECT_THAT(fleet.starts, SizeIs(1));
         if (const auto record = stored.find(records::worker(WorkerId("w1"))); record != stored.end())
             EXPECT_FALSE(decodeWorker(WorkerId("w1"), record->second).onlyRuns);
@@ -455,10 +451,6 @@
             return second.now - since;
         }
 
-        // By then every lease that a predecessor may have granted has expired: 4 s in which it may order, and a lease
-        // of 3 s on a clock that is 2% slow.
-        static constexpr Duration leasesExpireAfter { 7061 };
-
         std::map<std::string, std::string> stored;
         CoordinatorHarness first;
     };
@@ -467,17 +459,19 @@
     // its queue only.
     TEST_F(TakeoverAfterAChangeOfService, ATaskOnTheFormerServiceIsNotStartedOnTheNewOne)
     {
-        EXPECT_GE(timeToStart(), leasesExpireAfter) << "the successor is the first to see the change";
+        EXPECT_GE(timeToStart(), CoordinatorHarness::leasesExpireAfter)
+            << "the successor is the first to see the change";
         changeService(first);
         first.run(Duration(60));
         storeBatch(first, stored);
-        EXPECT_GE(timeToStart(), leasesExpireAfter) << "the predecessor has seen the change";
+        EXPECT_GE(timeToStart(), CoordinatorHarness::leasesExpireAfter) << "the predecessor has seen the change";
     }
 
     TEST_F(TakeoverAfterAChangeOfService, WithoutARecordTheJobMayHaveRunsOnAnyService)
     {
         std::erase_if(stored, [](const auto& record) { return record.first.starts_with(records::queuePrefix); });
-        EXPECT_GE(timeToStart(), leasesExpireAfter) << "an earlier version stored no records of queues";
+        EXPECT_GE(timeToStart(), CoordinatorHarness::leasesExpireAfter)
+            << "an earlier version stored no records of queues";
     }
 
     // A successor would not know where to look for runs that were started before the record was stored.
@@ -727,8 +721,6 @@
             }
             return fleet.now - since;
         }
-
-        static constexpr Duration leasesExpireAfter { 7061 };
     };
 
     // Guards against a service that starts nothing for 7 s after each takeover, since an instance of it had been moved
@@ -747,9 +739,9 @@
 
     TEST_F(TakeoverOfEndedWorkers, AWorkerThatIsListedOrWhoseInstanceIsDownMayHoldRuns)
     {
-        EXPECT_GE(timeToStart(InstanceState::Up, "w2"), leasesExpireAfter);
-        EXPECT_GE(timeToStart(InstanceState::Down, ""), leasesExpireAfter);
-        EXPECT_GE(timeToStart(InstanceState::Up, ""), leasesExpireAfter);
+        EXPECT_GE(timeToStart(InstanceState::Up, "w2"), CoordinatorHarness::leasesExpireAfter);
+        EXPECT_GE(timeToStart(InstanceState::Down, ""), CoordinatorHarness::leasesExpireAfter);
+        EXPECT_GE(timeToStart(InstanceState::Up, ""), CoordinatorHarness::leasesExpireAfter);
     }
 
     // A pool below its need and a spare instance, for a coordinator that has taken over.
--- a/unittests/Entry/WavesTest.cpp
+++ b/unittests/Entry/WavesTest.cpp
@@ -198,10 +198,6 @@
             return fleet.now - since;
         }
 
-        // By then every lease that a predecessor may have granted has expired: 4 s in which it may order, and a lease
-        // of 3 s on a clock that is 2% slow.
-        static constexpr Duration leasesExpireAfter { 7061 };
-
         CoordinatorHarness fleet;
         std::vector<FleetInstance> instances;
     };
@@ -211,14 +207,14 @@
     TEST_F(WavesAfterATakeover, AWorkerThatMayHoldRunsOfAPredecessorIsNotIdle)
     {
         fleet.coordinator.restoreWorker(fleet.addWorker("w1"), std::nullopt, fleet.now);
-        EXPECT_GE(timeToMaintenance(), leasesExpireAfter);
+        EXPECT_GE(timeToMaintenance(), CoordinatorHarness::leasesExpireAfter);
         EXPECT_THAT(fleet.maintenance, SizeIs(1)) << "nothing can run there any more";
     }
 
     TEST_F(WavesAfterATakeover, AWorkerOnWhichNothingWasStartedIsIdle)
     {
         fleet.addWorker("w1"); // registered, but without a record
-        EXPECT_LT(timeToMaintenance(), leasesExpireAfter);
+        EXPECT_LT(timeToMaintenance(), CoordinatorHarness::leasesExpireAfter);
     }
 
     class AcceptedMaintenance : public Waves {
--- a/unittests/Protocol/CodecTest.cpp
+++ b/unittests/Protocol/CodecTest.cpp
@@ -1,5 +1,6 @@
 // Records and peer messages round-trip through their encoding; malformed input is rejected.
 #include "marigoldlink/Protocol/Generated/Peer_types.h"
+#include "marigoldlink/Protocol/JobCodec.h"
 #include "marigoldlink/Protocol/PeerCodec.h"
 #include "marigoldlink/Protocol/RecordCodec.h"
 #include "marigoldlink/State/Errors.h"
@@ -23,6 +24,29 @@
     EXPECT_EQ(decodeInstanceRecord(encode(instance)), instance);
 }
 
+TEST(RecordCodec, QueueRecordsRoundTrip)
+{
+    JobQueue queue;
+    queue.id = QueueId("checks");
+    queue.service = ServiceId("gates");
+    queue.priority = 2;
+    queue.maxTaskFailures = 3;
+    queue.objectiveFactor = 1.6;
+    queue.objectiveAllowance = Duration(600);
+    queue.needsAdvice = true;
+    const QueueRecord record { { ServiceId("gates"), ServiceId("lanes") }, queue };
+    const auto decoded = decodeQueue(queue.id, encodeQueue(record));
+    EXPECT_EQ(decoded.services, record.services);
+    EXPECT_EQ(decoded.queue, record.queue);
+}
+
+TEST(RecordCodec, ReadsQueuesOfAnEarlierFormat)
+{
+    const auto decoded = decodeQueue(QueueId("checks"), R"({"services":["gates"]})");
+    EXPECT_EQ(decoded.services, std::set<ServiceId> { ServiceId("gates") });
+    EXPECT_FALSE(decoded.queue);
+}
+
 TEST(RecordCodec, ReadsCustomersOfAnEarlierFormat)
 {
     const auto record = decodeCustomerRecord(R"({"id":"c","team":"t","colour":"a field of another version"})");
