--- a/unittests/Coordination/MaintenancePlannerTest.cpp
+++ b/unittests/Coordination/MaintenancePlannerTest.cpp
@@ -14,7 +14,7 @@
     struct Fleet {
         std::map<std::string, FleetInstance> instances;
         std::map<std::string, TimePoint> downUntil;
-        std::set<std::string> begun;
+        std::map<WaveId, std::set<std::string>> begun;
 
         explicit Fleet(int count)
         {
@@ -25,9 +25,9 @@
             }
         }
 
-        void begin(const std::string& id, TimePoint now)
+        void begin(const WaveId& wave, const std::string& id, TimePoint now)
         {
-            if (!begun.insert(id).second)
+            if (!begun[wave].insert(id).second)
                 return;
             downUntil[id] = now + Duration(2000);
         }
@@ -49,6 +49,29 @@
         }
     };
 
+    // Sends the calls that are planned now. Each is carried out or not, and answered or not, as the choices say.
+    void sendPlannedCalls(MaintenancePlanner& plan, Fleet& fleet, Choices& choices, TimePoint now)
+    {
+        fleet.updateList(now);
+        const auto steps = plan.plan(
+            fleet.instances, [](const std::string&) { return InstanceLoad {}; }, now);
+        for (const auto& step : steps) {
+            plan.callSent(step.wave, step.instance, now);
+            const auto outcome = choices.below(8);
+            if (outcome == 7) {
+                plan.callRejected(step.instance, now); // not carried out
+            } else if (outcome == 6) {
+                plan.callUnanswered(step.wave, step.instance, now); // the request is lost
+            } else {
+                fleet.begin(step.wave, step.instance, now);
+                if (outcome == 5)
+                    plan.callUnanswered(step.wave, step.instance, now); // carried out, but the answer is lost
+                else
+                    plan.callAccepted(step.wave, step.instance, now);
+            }
+        }
+    }
+
     MaintenanceWave wave(int count, int maxConcurrent)
     {
         MaintenanceWave wave;
@@ -75,29 +98,12 @@
     bool isComplete = false;
     for (int i = 0; i < 2000 && !isComplete; ++i) {
         now += Duration(50);
-        fleet.updateList(now);
-        const auto steps = plan.plan(
-            fleet.instances, [&](const std::string&) { return InstanceLoad {}; }, now);
-        for (const auto& step : steps) {
-            plan.callSent(step.wave, step.instance, now);
-            const auto outcome = choices.below(8);
-            if (outcome == 7) {
-                plan.callRejected(step.instance, now); // not carried out
-            } else if (outcome == 6) {
-                plan.callUnanswered(step.wave, step.instance, now); // the request is lost
-            } else {
-                fleet.begin(step.instance, now);
-                if (outcome == 5)
-                    plan.callUnanswered(step.wave, step.instance, now); // carried out, but the answer is lost
-                else
-                    plan.callAccepted(step.wave, step.instance, now);
-            }
-        }
+        sendPlannedCalls(plan, fleet, choices, now);
         RC_ASSERT(fleet.countDown(now) <= maxAtOnce);
         for (const auto& change : plan.takeChanges())
             isComplete |= change.isComplete;
         if (isComplete)
-            RC_ASSERT(static_cast<int>(fleet.begun.size()) == count);
+            RC_ASSERT(static_cast<int>(fleet.begun[s_wave].size()) == count);
     }
     RC_ASSERT(isComplete);
 }
@@ -117,7 +123,7 @@
     const auto repeatedAt = begin + Duration(1000);
     ASSERT_EQ(plan.plan(fleet.instances, load, repeatedAt).size(), 1u);
     plan.callSent(s_wave, "i0", repeatedAt);
-    fleet.begin("i0", repeatedAt);
+    fleet.begin(s_wave, "i0", repeatedAt);
     plan.callUnanswered(s_wave, "i0", repeatedAt);
     const auto rejectedAt = begin + Duration(2500);
     ASSERT_EQ(plan.plan(fleet.instances, load, rejectedAt).size(), 1u);
@@ -142,36 +148,19 @@
     Fleet fleet(count);
     MaintenancePlanner plan({ Duration(2000), Duration(500) });
     plan.setWaves({ { s_wave, waves[s_wave] } });
-    std::map<WaveId, std::set<std::string>> begun;
     std::set<WaveId> complete;
     TimePoint now { Duration(1000) };
     for (int i = 0; i < 3000 && complete.size() < waves.size(); ++i) {
         now += Duration(50);
         if (i == secondFrom)
             plan.setWaves(waves);
-        fleet.updateList(now);
-        const auto steps = plan.plan(
-            fleet.instances, [&](const std::string&) { return InstanceLoad {}; }, now);
-        for (const auto& step : steps) {
-            plan.callSent(step.wave, step.instance, now);
-            const auto outcome = choices.below(8);
-            if (outcome == 7) {
-                plan.callRejected(step.instance, now);
-                continue;
-            }
-            if (outcome != 6 && begun[step.wave].insert(step.instance).second)
-                fleet.downUntil[step.instance] = now + Duration(2000);
-            if (outcome >= 5)
-                plan.callUnanswered(step.wave, step.instance, now);
-            else
-                plan.callAccepted(step.wave, step.instance, now);
-        }
+        sendPlannedCalls(plan, fleet, choices, now);
         for (const auto& change : plan.takeChanges()) {
             if (!change.isComplete)
                 continue;
             complete.insert(change.wave);
             const auto& due = waves.at(change.wave).instances;
-            RC_ASSERT(begun[change.wave] == std::set<std::string>(due.begin(), due.end()));
+            RC_ASSERT(fleet.begun[change.wave] == std::set<std::string>(due.begin(), due.end()));
         }
     }
     RC_ASSERT(complete.size() == waves.size());
--- a/unittests/Entry/CoordinatorHarness.h
+++ b/unittests/Entry/CoordinatorHarness.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "marigoldlink/Entry/Coordinator.h"
+#include "marigoldlink/Protocol/JobCodec.h"
 
 #include <algorithm>
 
@@ -54,6 +55,15 @@
         return spec;
     }
 
+    static MaintenanceWave wave(const std::string& number, std::vector<std::string> instances)
+    {
+        MaintenanceWave wave;
+        wave.id = WaveId(number);
+        wave.number = std::stoll(number);
+        wave.instances = std::move(instances);
+        return wave;
+    }
+
     static TaskKey task(const std::string& id, int index = 0, int step = 0) { return { JobId(id), 0, step, index }; }
 
     // Starts the coordinator of a first term with workers that answered and whose records are stored.
@@ -162,6 +172,40 @@
         run(Duration(5));
     }
 
+    // Applies the batch in flight to the records and confirms it.
+    void storeBatch(std::map<std::string, std::string>& stored)
+    {
+        if (!batch)
+            return;
+        for (const auto& [key, value] : batch->puts)
+            stored[key] = value;
+        for (const auto& key : batch->removals)
+            stored.erase(key);
+        answerJournal();
+    }
+
+    // Restores what a predecessor stored.
+    void restore(const std::map<std::string, std::string>& stored)
+    {
+        for (const auto& [key, value] : stored) {
+            if (!key.starts_with(records::queuePrefix))
+                continue;
+            const QueueId id(key.substr(records::queuePrefix.size()));
+            coordinator.restoreQueue(id, decodeQueue(id, value));
+        }
+        for (const auto& [key, value] : stored) {
+            if (key.starts_with(records::jobPrefix)) {
+                const JobId id(key.substr(records::jobPrefix.size()));
+                const auto progress = stored.find(records::progress(id));
+                coordinator.restoreJob(decodeJob(id, value),
+                    progress == stored.end() ? JobProgress {} : decodeProgress(id, progress->second), now);
+            } else if (key.starts_with(records::workerPrefix)) {
+                const auto record = decodeWorker(WorkerId(key.substr(records::workerPrefix.size())), value);
+                coordinator.restoreWorker(record.entry, record.onlyRuns, now);
+            }
+        }
+    }
+
     std::int64_t wallMs() const { return 1700000000000 + now.time_since_epoch().count(); }
 
     TimePoint now { Duration(100000) };
--- a/unittests/Entry/MovesTest.cpp
+++ b/unittests/Entry/MovesTest.cpp
@@ -68,11 +68,7 @@
             fleet.answerPolls();
             fleet.coordinator.instancesListed({ instance }, fleet.now);
         }
-        MaintenanceWave wave;
-        wave.id = WaveId("1");
-        wave.number = 1;
-        wave.instances = { instance.id };
-        fleet.operators.waves[wave.id] = wave;
+        fleet.operators.waves[WaveId("1")] = CoordinatorHarness::wave("1", { instance.id });
         fleet.coordinator.setOperators(fleet.operators, fleet.now);
         fleet.coordinator.instanceAnswered("m-1", InstanceAnswer::Done, fleet.now);
         for (int i = 0; i < 10; ++i) {
--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -26,82 +26,6 @@
         EXPECT_GT(number(fleet.starts[0].run), 1000) << "runs of a new term have higher numbers than any run before";
     }
 
-    // Worker w1 has two ends of a predecessor's runs and lists one of them in each answer.
-    class TakeoverWithCutOffEnds : public testing::Test {
-    protected:
-        TakeoverWithCutOffEnds()
-            : fleet({ 20, 2 })
-            , tookOverAt(fleet.now)
-        {
-            fleet.coordinator.restoreWorker(fleet.addWorker("w1"), std::nullopt, fleet.now);
-            fleet.addWorker("w2");
-            fleet.coordinator.restoreJob(CoordinatorHarness::job("a", 2), {}, fleet.now);
-            fleet.run(Duration(5));
-            fleet.areEndsCutOff = true;
-            fleet.answerPolls({}, { end(1) }, "w1");
-            fleet.areEndsCutOff = false;
-            fleet.answerPolls({}, {}, "w2");
-            fleet.coordinator.finishRestore(fleet.now);
-            fleet.settle();
-            // The poll that was sent before the first end was stored.
-            fleet.areEndsCutOff = true;
-            fleet.answerPolls({}, { end(1) }, "w1");
-            fleet.areEndsCutOff = false;
-            fleet.settle();
-            fleet.run(Duration(300));
-        }
-
-        static ListedEnd end(int number)
-        {
-            return { number, CoordinatorHarness::task("a", number - 1), RunNumber(1), RunEnd::Done, "" };
-        }
-
-        CoordinatorHarness fleet;
-        TimePoint tookOverAt;
-    };
-
-    // Guards against TWICE violations (review/1): a worker's first 500 ends were taken for all of them, so tasks whose
-    // ends it had yet to list were started again.
-    TEST_F(TakeoverWithCutOffEnds, ATaskWhoseEndIsNotListedYetIsNotStartedAgain)
-    {
-        EXPECT_THAT(fleet.starts, IsEmpty());
-        ASSERT_THAT(fleet.polls, testing::Contains(testing::Field(&PollOrder::acknowledged, 1)));
-        fleet.answerPolls({}, { end(2) }, "w1");
-        fleet.settle();
-        EXPECT_THAT(fleet.starts, IsEmpty());
-        EXPECT_EQ(fleet.coordinator.jobStatus(JobId("a")).state, JobState::Complete);
-    }
-
-    TEST_F(TakeoverWithCutOffEnds, ATaskThatIsInNoListStartsOnceAllEndsAreKnown)
-    {
-        fleet.answerPolls({}, {}, "w1");
-        fleet.settle();
-        ASSERT_THAT(fleet.starts, SizeIs(1));
-        EXPECT_EQ(fleet.starts[0].task, CoordinatorHarness::task("a", 1));
-    }
-
-    // The ends that such a worker has yet to list are protected until its lease has expired, whether it is registered
-    // or not, and its record must not vouch that nothing else ran there.
-    TEST_F(TakeoverWithCutOffEnds, AWorkerThatFallsSilentKeepsItsUnlistedEndsUntilItsLeaseHasExpired)
-    {
-        fleet.coordinator.workerEntryRemoved(WorkerId("w1"), fleet.now);
-        std::map<std::string, std::string> stored;
-        while (fleet.starts.empty() && fleet.now < tookOverAt + Duration(15000)) {
-            fleet.failPolls("w1");
-            fleet.run(Duration(50));
-            fleet.answerPolls({}, {}, "w2");
-            if (fleet.batch && fleet.now < tookOverAt + CoordinatorHarness::leasesExpireAfter) {
-                for (const auto& [key, value] : fleet.batch->puts)
-                    stored[key] = value;
-            }
-            fleet.answerJournal();
-        }
-        EXPECT_GE(fleet.now - tookOverAt, CoordinatorHarness::leasesExpireAfter);
-        EXPECT_THAT(fleet.starts, SizeIs(1));
-        if (const auto record = stored.find(records::worker(WorkerId("w1"))); record != stored.end())
-            EXPECT_FALSE(decodeWorker(WorkerId("w1"), record->second).onlyRuns);
-    }
-
     JobSpec timedJob(const std::string& id, std::int64_t firstUnixMs)
     {
         auto spec = CoordinatorHarness::job(id);
@@ -317,39 +241,6 @@
         EXPECT_TRUE(fleet.coordinator.workers().find(WorkerId("w1"))->isRecordStored);
     }
 
-    // Applies the batch in flight to the records and confirms it.
-    void storeBatch(CoordinatorHarness& fleet, std::map<std::string, std::string>& stored)
-    {
-        if (!fleet.batch)
-            return;
-        for (const auto& [key, value] : fleet.batch->puts)
-            stored[key] = value;
-        for (const auto& key : fleet.batch->removals)
-            stored.erase(key);
-        fleet.answerJournal();
-    }
-
-    void restore(CoordinatorHarness& fleet, const std::map<std::string, std::string>& stored)
-    {
-        for (const auto& [key, value] : stored) {
-            if (!key.starts_with(records::queuePrefix))
-                continue;
-            const QueueId id(key.substr(records::queuePrefix.size()));
-            fleet.coordinator.restoreQueue(id, decodeQueue(id, value));
-        }
-        for (const auto& [key, value] : stored) {
-            if (key.starts_with(records::jobPrefix)) {
-                const JobId id(key.substr(records::jobPrefix.size()));
-                const auto progress = stored.find(records::progress(id));
-                fleet.coordinator.restoreJob(decodeJob(id, value),
-                    progress == stored.end() ? JobProgress {} : decodeProgress(id, progress->second), fleet.now);
-            } else if (key.starts_with(records::workerPrefix)) {
-                const auto record = decodeWorker(WorkerId(key.substr(records::workerPrefix.size())), value);
-                fleet.coordinator.restoreWorker(record.entry, record.onlyRuns, fleet.now);
-            }
-        }
-    }
-
     // Guards against TWICE violations: a sealed record was stored before the ends that its worker had listed, since it
     // takes precedence in the journal. It did not name the ended tasks, so a successor that could not reach the worker
     // started them again.
@@ -363,7 +254,7 @@
         first.answerPolls();
         first.coordinator.finishRestore(first.now);
         first.run(Duration(60));
-        storeBatch(first, stored);
+        first.storeBatch(stored);
         std::vector<ListedEnd> ends;
         for (int i = 0; i < jobs; ++i) {
             const auto id = "job" + std::to_string(i);
@@ -372,7 +263,7 @@
         }
         while (first.starts.size() < jobs) {
             first.run(Duration(10));
-            storeBatch(first, stored);
+            first.storeBatch(stored);
         }
         first.answerStarts();
         first.answerPolls({}, ends);
@@ -383,7 +274,7 @@
             return decodeWorker(WorkerId("w1"), stored.at(records::worker(WorkerId("w1")))).onlyRuns.has_value();
         };
         while (!hasSealedRecord() && first.batch) {
-            storeBatch(first, stored);
+            first.storeBatch(stored);
             first.run(Duration(1));
         }
         ASSERT_TRUE(hasSealedRecord());
@@ -391,7 +282,7 @@
 
         CoordinatorHarness second({ 20, 2 });
         second.addWorker("w2", jobs * 1000);
-        restore(second, stored);
+        second.restore(stored);
         second.takeOverWithout("w1", "w2");
         EXPECT_EQ(second.starts.size(), 0u);
         // The worker answers and lists its ends again.
@@ -402,158 +293,6 @@
         EXPECT_EQ(second.coordinator.jobs().activeJobs().size(), 0u);
     }
 
-    // The queue of a running job gets another service, whose workers a successor reaches, while it does not reach the
-    // worker of the former service.
-    class TakeoverAfterAChangeOfService : public testing::Test {
-    protected:
-        TakeoverAfterAChangeOfService()
-        {
-            first.addWorker("w1");
-            first.run(Duration(5));
-            first.answerPolls();
-            first.coordinator.finishRestore(first.now);
-            first.coordinator.submit(CallToken(1), CoordinatorHarness::job("a"), first.now);
-            for (int i = 0; i < 4; ++i) {
-                first.run(Duration(60));
-                storeBatch(first, stored);
-            }
-            first.run(Duration(5));
-            EXPECT_THAT(first.starts, SizeIs(1));
-            first.answerStarts();
-        }
-
-        static void changeService(CoordinatorHarness& fleet)
-        {
-            const ServiceId lanes("lanes");
-            fleet.operators.config.version = 2;
-            fleet.operators.config.pools.emplace(lanes, WorkerPool { lanes, false, false });
-            fleet.operators.config.queues.at(QueueId("checks")).service = lanes;
-            fleet.coordinator.setOperators(fleet.operators, fleet.now);
-        }
-
-        static void addLanesWorker(CoordinatorHarness& fleet, const std::string& id)
-        {
-            auto entry = fleet.addWorker(id);
-            entry.service = ServiceId("lanes");
-            fleet.coordinator.workerEntry(entry, fleet.now);
-        }
-
-        // Returns the time from a takeover, on the records as they are stored, to the first start.
-        Duration timeToStart()
-        {
-            CoordinatorHarness second({ 20, 2 });
-            const auto since = second.now;
-            changeService(second);
-            addLanesWorker(second, "w2");
-            restore(second, stored);
-            second.takeOverWithout("w1", "w2");
-            second.waitForStarts(1, Duration(15000), "w1", "w2");
-            return second.now - since;
-        }
-
-        std::map<std::string, std::string> stored;
-        CoordinatorHarness first;
-    };
-
-    // Guards against TWICE violations (review/4): a successor searched for the runs of a job on the present service of
-    // its queue only.
-    TEST_F(TakeoverAfterAChangeOfService, ATaskOnTheFormerServiceIsNotStartedOnTheNewOne)
-    {
-        EXPECT_GE(timeToStart(), CoordinatorHarness::leasesExpireAfter)
-            << "the successor is the first to see the change";
-        changeService(first);
-        first.run(Duration(60));
-        storeBatch(first, stored);
-        EXPECT_GE(timeToStart(), CoordinatorHarness::leasesExpireAfter) << "the predecessor has seen the change";
-    }
-
-    TEST_F(TakeoverAfterAChangeOfService, WithoutARecordTheJobMayHaveRunsOnAnyService)
-    {
-        std::erase_if(stored, [](const auto& record) { return record.first.starts_with(records::queuePrefix); });
-        EXPECT_GE(timeToStart(), CoordinatorHarness::leasesExpireAfter)
-            << "an earlier version stored no records of queues";
-    }
-
-    // A successor would not know where to look for runs that were started before the record was stored.
-    TEST_F(TakeoverAfterAChangeOfService, NothingStartsOnTheNewServiceBeforeItsRecordIsStored)
-    {
-        addLanesWorker(first, "w2");
-        first.run(Duration(5));
-        first.answerPolls();
-        first.settle();
-        first.answerPolls({}, {}, "w1");
-        changeService(first);
-        first.answerPolls({}, { { 1, CoordinatorHarness::task("a"), RunNumber(1), RunEnd::Stopped, "" } }, "w1");
-        first.run(Duration(1000));
-        EXPECT_THAT(first.starts, IsEmpty());
-        ASSERT_TRUE(first.batch);
-        storeBatch(first, stored);
-        first.run(Duration(5));
-        ASSERT_THAT(first.starts, SizeIs(1));
-        EXPECT_EQ(first.starts[0].worker.id, WorkerId("w2"));
-    }
-
-    TEST_F(TakeoverAfterAChangeOfService, TheRecordOfAQueueLastsAsLongAsItsJobs)
-    {
-        const auto key = records::queue(QueueId("checks"));
-        const auto pass = [this] {
-            for (int i = 0; i < 300; ++i) {
-                first.run(Duration(50));
-                storeBatch(first, stored);
-            }
-        };
-        first.operators.config.queues.clear();
-        first.coordinator.setOperators(first.operators, first.now);
-        pass();
-        EXPECT_TRUE(stored.contains(key)) << "the job is active";
-        first.coordinator.cancel(CallToken(2), JobId("a"), first.now);
-        for (int i = 0; i < 10; ++i)
-            pass();
-        EXPECT_FALSE(stored.contains(key));
-    }
-
-    // Guards against LOST violations (review/2): a job whose queue operators had removed ran on only until its
-    // coordinator ended, since its successor did not know the queue's service.
-    TEST(Takeover, AJobOfARemovedQueueRunsOn)
-    {
-        std::map<std::string, std::string> stored;
-        const auto removeQueues = [](CoordinatorHarness& fleet) {
-            fleet.operators.config.version = 2;
-            fleet.operators.config.queues.clear();
-            fleet.coordinator.setOperators(fleet.operators, fleet.now);
-        };
-        const auto runAndStore = [&stored](CoordinatorHarness& fleet) {
-            for (int i = 0; i < 4; ++i) {
-                fleet.run(Duration(60));
-                storeBatch(fleet, stored);
-            }
-        };
-        CoordinatorHarness first;
-        first.addWorker("w1");
-        first.run(Duration(5));
-        first.answerPolls();
-        first.coordinator.finishRestore(first.now);
-        first.coordinator.submit(CallToken(1), CoordinatorHarness::job("a"), first.now);
-        runAndStore(first);
-        ASSERT_THAT(first.starts, SizeIs(1));
-        removeQueues(first);
-        runAndStore(first);
-
-        // Two takeovers: the record must outlast the first one.
-        for (std::uint64_t term = 2; term <= 3; ++term) {
-            CoordinatorHarness successor({ 10 * (term + 1), term });
-            removeQueues(successor);
-            restore(successor, stored);
-            successor.addWorker("w1");
-            successor.run(Duration(5));
-            successor.answerPolls({}, { { 1, CoordinatorHarness::task("a"), RunNumber(1), RunEnd::Failed, "" } });
-            successor.coordinator.finishRestore(successor.now);
-            runAndStore(successor);
-            ASSERT_THAT(successor.starts, SizeIs(1)) << "one of two attempts is left";
-            EXPECT_EQ(successor.coordinator.jobs().find(JobId("a"))->queue.objectiveAllowance, Duration(600));
-        }
-    }
-
     // Registry entries expire during an outage of the store. Guards against a successor that does not know of a worker
     // that is still running a task.
     TEST(Takeover, RecordedWorkerOutsideTheRegistryStillBlocksItsTasks)
--- a/unittests/Entry/WavesTest.cpp
+++ b/unittests/Entry/WavesTest.cpp
@@ -40,11 +40,7 @@
             fleet.answerStarts();
             answerPoll("w1");
             answerPoll("w2");
-            MaintenanceWave wave;
-            wave.id = WaveId("1");
-            wave.number = 1;
-            wave.instances = { "m-w1" };
-            fleet.operators.waves[wave.id] = wave;
+            fleet.operators.waves[WaveId("1")] = CoordinatorHarness::wave("1", { "m-w1" });
         }
 
         void answerPoll(const std::string& worker) { fleet.answerPolls({ running.at(WorkerId(worker)) }, {}, worker); }
@@ -123,10 +119,7 @@
     // wave was complete although the instance was never maintained for it.
     TEST_F(Waves, AnInstanceInTwoWavesIsMaintainedForEach)
     {
-        MaintenanceWave second = fleet.operators.waves.at(WaveId("1"));
-        second.id = WaveId("2");
-        second.number = 2;
-        fleet.operators.waves[second.id] = second;
+        fleet.operators.waves[WaveId("2")] = CoordinatorHarness::wave("2", { "m-w1" });
         beginWave();
         pass(Duration(400), { "w1", "w2" });
         ASSERT_THAT(fleet.maintenance, SizeIs(1));
@@ -143,15 +136,12 @@
     // and the other one not at all.
     TEST_F(Waves, ACallWithoutAnAnswerIsRepeatedForItsOwnWave)
     {
-        fleet.operators.waves.at(WaveId("1")).id = WaveId("5");
-        const auto wave = fleet.operators.waves.extract(WaveId("1")).mapped();
-        fleet.operators.waves[WaveId("5")] = wave;
+        fleet.operators.waves.clear();
+        fleet.operators.waves[WaveId("5")] = CoordinatorHarness::wave("5", { "m-w1" });
         beginWave();
         pass(Duration(400), { "w1", "w2" });
         ASSERT_THAT(fleet.maintenance, SizeIs(1));
-        auto earlier = wave;
-        earlier.id = WaveId("4");
-        fleet.operators.waves[earlier.id] = earlier;
+        fleet.operators.waves[WaveId("4")] = CoordinatorHarness::wave("4", { "m-w1" });
         beginWave();
         fleet.coordinator.instanceAnswered("m-w1", InstanceAnswer::Unknown, fleet.now);
         pass(Duration(800), { "w1", "w2" });
@@ -170,11 +160,7 @@
             instance.pool = ServiceId("gates");
             instance.worker = WorkerId("w1");
             instance.capacity = { 8000, 100000, 0 };
-            MaintenanceWave wave;
-            wave.id = WaveId("1");
-            wave.number = 1;
-            wave.instances = { instance.id };
-            fleet.operators.waves[wave.id] = wave;
+            fleet.operators.waves[WaveId("1")] = CoordinatorHarness::wave("1", { instance.id });
             fleet.coordinator.setOperators(fleet.operators, fleet.now);
             auto spec = CoordinatorHarness::job("s", 2);
             spec.steps[0].isService = true;
