Peers: a forwarded call carries its origin

A coordinator could not tell through which entry instance a submission or cancelling came, or how long it had been on its way.

CallOrigin has the team that makes the call, the endpoint of the entry instance that received it, and the time since then. On the wire the three are optional fields of FleetCall: earlier versions do not send them, and ignore them.

The age starts when the entry instance has read the call, so it leaves out the time in the socket of an instance that is frozen.

--- a/idl/Fleet.thrift
+++ b/idl/Fleet.thrift
@@ -8,6 +8,9 @@
   3: string queue
   4: string record // the job as it is stored, for a submission
   5: optional i64 waitMs // the sender waits this long for the reply; earlier versions do not send it
+  6: optional string team // that makes the call; earlier versions do not send this and the following
+  7: optional string entry // endpoint of the instance that received the call
+  8: optional i64 ageMs // since that instance received the call
 }
 
 struct FleetReply {
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -82,9 +82,9 @@
     // Callers' calls.
     // Replies Refused if the job's record cannot be stored within the given time, in which the caller needs the reply.
     // nullopt: no limit by the caller.
-    void submit(CallToken, JobSpec, TimePoint now, std::optional<Duration> wait = std::nullopt);
+    void submit(CallToken, JobSpec, TimePoint now, std::optional<Duration> wait = std::nullopt, const CallOrigin& = {});
     // Replies UnknownJob only while no other coordinator can have accepted the job, else NotCoordinator.
-    void cancel(CallToken, const JobId&, TimePoint now);
+    void cancel(CallToken, const JobId&, TimePoint now, const CallOrigin& = {});
     Reply jobStatus(const JobId&) const;
     Reply waiting(const QueueId&) const;
 
--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -100,7 +100,8 @@
         auto& pending = m_calls[id];
         pending.request = std::move(request);
         pending.callback = std::move(callback);
-        pending.latest = m_loop.now() + time;
+        pending.receivedAt = m_loop.now();
+        pending.latest = pending.receivedAt + time;
         pending.timer = m_loop.after(std::min(time, m_settings.maxWait), [this, id] { expire(id); });
         attemptCall(id);
     }
@@ -110,6 +111,7 @@
         FleetCallRequest request;
         CallCallback callback;
         EventLoop::Timer timer;
+        TimePoint receivedAt;
         TimePoint latest; // deadline of the caller
         bool isInFlight { false };
         bool mayHaveTakenEffect { false }; // some attempt had no answer and may have taken effect
@@ -310,7 +312,10 @@
         if (found == m_calls.end() || found->second.isInFlight)
             return;
         auto& pending = found->second;
-        pending.request.wait = std::min(pending.timer.first - m_loop.now(), m_settings.peerTimeout);
+        const auto now = m_loop.now();
+        pending.request.wait = std::min(pending.timer.first - now, m_settings.peerTimeout);
+        pending.request.origin.entry = m_settings.peers.text();
+        pending.request.origin.age = now - pending.receivedAt;
         if (m_runner) {
             if (!m_runner->isReady())
                 return;
@@ -424,9 +429,9 @@
             const auto token = CallToken(m_nextToken++);
             m_tokens.emplace(token, std::move(served));
             if (request.kind == FleetCallRequest::Kind::Submit)
-                coordinator.submit(token, request.job, now, request.wait);
+                coordinator.submit(token, request.job, now, request.wait, request.origin);
             else
-                coordinator.cancel(token, request.job.id, now);
+                coordinator.cancel(token, request.job.id, now, request.origin);
             m_runner->executeOrders();
             return;
         }
--- a/include/marigoldlink/Entry/Orders.h
+++ b/include/marigoldlink/Entry/Orders.h
@@ -19,6 +19,15 @@
 // Identifies a pending call of a gateway.
 enum class CallToken : std::uint64_t {};
 
+// Where a caller's call comes from. Only part of it may be known, as earlier versions do not send it.
+struct CallOrigin {
+    TeamId team; // that makes the call; empty if it is anonymous
+    std::string entry; // endpoint of the entry instance that received the call; empty if not known
+    std::optional<Duration> age; // since that instance received it; the time in its socket is not included
+
+    bool operator==(const CallOrigin&) const = default;
+};
+
 struct StartOrder {
     WorkerIncarnation worker;
     Endpoint endpoint;
--- a/include/marigoldlink/Entry/PeerCalls.h
+++ b/include/marigoldlink/Entry/PeerCalls.h
@@ -14,6 +14,7 @@
     Kind kind { Kind::JobStatus };
     JobSpec job; // only id and queue are used unless kind is Submit
     std::optional<Duration> wait {}; // time in which the sender needs the reply; nullopt: not known
+    CallOrigin origin {};
 };
 
 std::string encodeCall(const FleetCallRequest&);
--- a/include/marigoldlink/Protocol/Generated/Fleet_types.h
+++ b/include/marigoldlink/Protocol/Generated/Fleet_types.h
@@ -32,12 +32,15 @@
 class FleetState;
 
 typedef struct _FleetCall__isset {
-  _FleetCall__isset() : kind(false), job(false), queue(false), record(false), waitMs(false) {}
+  _FleetCall__isset() : kind(false), job(false), queue(false), record(false), waitMs(false), team(false), entry(false), ageMs(false) {}
   bool kind :1;
   bool job :1;
   bool queue :1;
   bool record :1;
   bool waitMs :1;
+  bool team :1;
+  bool entry :1;
+  bool ageMs :1;
 } _FleetCall__isset;
 
 class FleetCall : public virtual ::apache::thrift::TBase {
@@ -50,7 +53,10 @@
               job(),
               queue(),
               record(),
-              waitMs(0) {
+              waitMs(0),
+              team(),
+              entry(),
+              ageMs(0) {
   }
 
   virtual ~FleetCall() noexcept;
@@ -59,6 +65,9 @@
   std::string queue;
   std::string record;
   int64_t waitMs;
+  std::string team;
+  std::string entry;
+  int64_t ageMs;
 
   _FleetCall__isset __isset;
 
@@ -72,6 +81,12 @@
 
   void __set_waitMs(const int64_t val);
 
+  void __set_team(const std::string& val);
+
+  void __set_entry(const std::string& val);
+
+  void __set_ageMs(const int64_t val);
+
   bool operator == (const FleetCall & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -86,6 +101,18 @@
       return false;
     else if (__isset.waitMs && !(waitMs == rhs.waitMs))
       return false;
+    if (__isset.team != rhs.__isset.team)
+      return false;
+    else if (__isset.team && !(team == rhs.team))
+      return false;
+    if (__isset.entry != rhs.__isset.entry)
+      return false;
+    else if (__isset.entry && !(entry == rhs.entry))
+      return false;
+    if (__isset.ageMs != rhs.__isset.ageMs)
+      return false;
+    else if (__isset.ageMs && !(ageMs == rhs.ageMs))
+      return false;
     return true;
   }
   bool operator != (const FleetCall &rhs) const {
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -162,7 +162,7 @@
     m_nextTick = now;
 }
 
-void Coordinator::submit(CallToken token, JobSpec spec, TimePoint now, std::optional<Duration> wait)
+void Coordinator::submit(CallToken token, JobSpec spec, TimePoint now, std::optional<Duration> wait, const CallOrigin&)
 {
     const auto id = spec.id;
     if (const auto* known = m_jobs.find(id)) {
@@ -197,7 +197,7 @@
     m_nextTick = std::min(m_nextTick, now + s_submissionDelay);
 }
 
-void Coordinator::cancel(CallToken token, const JobId& id, TimePoint now)
+void Coordinator::cancel(CallToken token, const JobId& id, TimePoint now, const CallOrigin&)
 {
     auto* job = m_jobs.find(id);
     if (!job) {
--- a/lib/Entry/PeerCalls.cpp
+++ b/lib/Entry/PeerCalls.cpp
@@ -28,6 +28,12 @@
     call.queue = request.job.queue.value();
     if (request.wait)
         call.__set_waitMs(request.wait->count());
+    if (!request.origin.team.empty())
+        call.__set_team(request.origin.team.value());
+    if (!request.origin.entry.empty())
+        call.__set_entry(request.origin.entry);
+    if (request.origin.age)
+        call.__set_ageMs(request.origin.age->count());
     if (request.kind == FleetCallRequest::Kind::Submit)
         call.record = encodeJob(request.job);
     return encodePeer(call);
@@ -47,6 +53,9 @@
     request.job.queue = QueueId(call.queue);
     if (call.__isset.waitMs)
         request.wait = Duration(call.waitMs);
+    request.origin = { TeamId(call.team), call.entry, std::nullopt };
+    if (call.__isset.ageMs)
+        request.origin.age = Duration(call.ageMs);
     return request;
 }
 
--- a/lib/Protocol/Generated/Fleet_types.cpp
+++ b/lib/Protocol/Generated/Fleet_types.cpp
@@ -38,6 +38,21 @@
   this->waitMs = val;
 __isset.waitMs = true;
 }
+
+void FleetCall::__set_team(const std::string& val) {
+  this->team = val;
+__isset.team = true;
+}
+
+void FleetCall::__set_entry(const std::string& val) {
+  this->entry = val;
+__isset.entry = true;
+}
+
+void FleetCall::__set_ageMs(const int64_t val) {
+  this->ageMs = val;
+__isset.ageMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const FleetCall& obj)
 {
   obj.printTo(out);
@@ -106,6 +121,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->entry);
+          this->__isset.entry = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -144,6 +183,21 @@
     xfer += oprot->writeI64(this->waitMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.team) {
+    xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->team);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.entry) {
+    xfer += oprot->writeFieldBegin("entry", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->entry);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ageMs) {
+    xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->ageMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -156,6 +210,9 @@
   swap(a.queue, b.queue);
   swap(a.record, b.record);
   swap(a.waitMs, b.waitMs);
+  swap(a.team, b.team);
+  swap(a.entry, b.entry);
+  swap(a.ageMs, b.ageMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -165,6 +222,9 @@
   queue = other0.queue;
   record = other0.record;
   waitMs = other0.waitMs;
+  team = other0.team;
+  entry = other0.entry;
+  ageMs = other0.ageMs;
   __isset = other0.__isset;
 }
 FleetCall& FleetCall::operator=(const FleetCall& other1) {
@@ -173,6 +233,9 @@
   queue = other1.queue;
   record = other1.record;
   waitMs = other1.waitMs;
+  team = other1.team;
+  entry = other1.entry;
+  ageMs = other1.ageMs;
   __isset = other1.__isset;
   return *this;
 }
@@ -184,6 +247,9 @@
   out << ", " << "queue=" << to_string(queue);
   out << ", " << "record=" << to_string(record);
   out << ", " << "waitMs="; (__isset.waitMs ? (out << to_string(waitMs)) : (out << "<null>"));
+  out << ", " << "team="; (__isset.team ? (out << to_string(team)) : (out << "<null>"));
+  out << ", " << "entry="; (__isset.entry ? (out << to_string(entry)) : (out << "<null>"));
+  out << ", " << "ageMs="; (__isset.ageMs ? (out << to_string(ageMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/unittests/Entry/SubmissionsTest.cpp
+++ b/unittests/Entry/SubmissionsTest.cpp
@@ -141,5 +141,17 @@
         EXPECT_EQ(decodeCall(encodeCall(request)).wait, std::nullopt) << "as sent by an earlier version";
     }
 
+    TEST(Calls, TheOriginIsPartOfTheCall)
+    {
+        for (const auto kind : { FleetCallRequest::Kind::Submit, FleetCallRequest::Kind::Cancel }) {
+            FleetCallRequest request { kind, CoordinatorHarness::job("a") };
+            EXPECT_EQ(decodeCall(encodeCall(request)).origin, CallOrigin {}) << "as sent by an earlier version";
+            request.origin = { TeamId("inspectors"), "127.0.0.1:4100", Duration(1500) };
+            EXPECT_EQ(decodeCall(encodeCall(request)).origin, request.origin);
+            request.origin = { {}, "127.0.0.1:4100", Duration(0) };
+            EXPECT_EQ(decodeCall(encodeCall(request)).origin, request.origin) << "of an anonymous caller";
+        }
+    }
+
 } // namespace
 } // namespace marigoldlink
