--- a/unittests/Entry/FleetModel.cpp
+++ b/unittests/Entry/FleetModel.cpp
@@ -16,6 +16,8 @@
         updateServices();
         for (auto& node : m_nodes)
             advanceNode(node);
+        if (m_calls.travel && m_nextLook <= m_now)
+            checkLooks();
         m_now += step;
     }
 }
@@ -28,54 +30,8 @@
         node->isPartitionedFromStore = false;
     }
     m_faults = { false, false, false, false };
-}
-
-void FleetModel::submit()
-{
-    auto* owner = currentOwner();
-    if (!owner || !owner->isRestored || owner->isPaused)
-        return;
-    JobSpec spec;
-    spec.id = JobId("job" + std::to_string(m_nextJob++));
-    spec.queue = QueueId("checks");
-    const bool isService = m_jobs == ModelJobs::SomeServices && m_services < s_maxServices;
-    for (int i = 0; i < (isService ? 1 : 2); ++i) {
-        StepSpec stepSpec;
-        stepSpec.tasks = 1 + static_cast<int>(m_choices.below(3));
-        stepSpec.need = { taskMilliCores, 1, 0 };
-        stepSpec.estimate = Duration(300);
-        if (i)
-            stepSpec.after.push_back(0);
-        if (isService) {
-            ++m_services;
-            stepSpec.tasks = s_serviceTasks;
-            stepSpec.isService = true;
-            stepSpec.maxUnavailable = s_maxUnavailable;
-        }
-        spec.steps.push_back(stepSpec);
-    }
-    if (m_jobs == ModelJobs::SomeTimed && m_choices.below(2))
-        spec.schedule
-            = { 2, wallMs() + static_cast<std::int64_t>(m_choices.below(2000)), s_occurrenceInterval.count() };
-    m_specs[spec.id] = spec;
-    owner->coordinator->submit(CallToken(m_nextToken), spec, m_now);
-    m_tokens[CallToken(m_nextToken++)] = spec.id;
-}
-
-void FleetModel::cancel()
-{
-    std::vector<NodePtr> nodes;
-    for (const auto& node : m_nodes) {
-        if (!node->isGone && !node->isPaused && node->isRestored)
-            nodes.push_back(node);
-    }
-    if (nodes.empty() || m_accepted.empty())
-        return;
-    const auto job = m_choices.pick(m_accepted);
-    if (m_specs.at(job).steps[0].isService)
-        return;
-    m_cancelTokens[CallToken(m_nextToken)] = job;
-    m_choices.pick(nodes)->coordinator->cancel(CallToken(m_nextToken++), job, m_now);
+    m_calls.delaysSubmissions = false;
+    m_calls.delaysReplies = false;
 }
 
 std::vector<JobId> FleetModel::unfinished() const
@@ -90,6 +46,8 @@
         const auto reply = owner->coordinator->jobStatus(id);
         if (m_specs.at(id).steps[0].isService)
             continue;
+        if (m_calls.travel && m_cancelSent.contains(id) && reply.kind == Reply::Kind::UnknownJob)
+            continue;
         if (reply.kind != Reply::Kind::State || reply.state == JobState::Pending || reply.state == JobState::Running)
             open.push_back(id);
     }
@@ -143,6 +101,10 @@
         submit();
     if (draw >= 18 && draw < 21)
         cancel();
+    if (m_calls.travel && draw >= 21 && draw < 25)
+        cancelUnanswered();
+    if (m_calls.travel && draw == 25)
+        cancelNeverSubmitted();
     auto* owner = currentOwner();
     if (draw == 10 && m_faults.pausesOwners && owner)
         owner->isPaused = true, addTrace("owner paused");
@@ -182,12 +144,15 @@
                           },
             {} });
     addTrace("term " + std::to_string(m_term) + " elected");
-    node->coordinator->setLeaseValidUntil(m_now + ownerTtl);
+    node->leaseValidUntil = m_now + ownerTtl;
+    node->coordinator->setLeaseValidUntil(node->leaseValidUntil);
     node->coordinator->setOperators(m_operators, m_now);
     for (const auto& [id, worker] : m_workers)
         node->coordinator->workerEntry(entry(id, worker), m_now);
     load(*node);
     m_nodes.push_back(node);
+    if (m_calls.travel)
+        learnOwner(node);
 }
 
 WorkerEntry FleetModel::entry(const WorkerId& id, const ModelWorker& worker) const
@@ -209,13 +174,16 @@
         node.coordinator->restoreQueue(id, decodeQueue(id, value));
     }
     for (const auto& [key, value] : m_records) {
-        if (key.starts_with(records::jobPrefix)) {
-            const JobId id(key.substr(records::jobPrefix.size()));
+        const auto idAfter = [&key](const std::string& prefix) {
+            return key.starts_with(prefix) ? std::optional(key.substr(prefix.size())) : std::nullopt;
+        };
+        if (const auto job = idAfter(records::jobPrefix)) {
+            const JobId id(*job);
             const auto progress = m_records.find(records::progress(id));
             node.coordinator->restoreJob(decodeJob(id, value),
                 progress == m_records.end() ? JobProgress {} : decodeProgress(id, progress->second), m_now);
-        } else if (key.starts_with(records::workerPrefix)) {
-            const auto record = decodeWorker(WorkerId(key.substr(records::workerPrefix.size())), value);
+        } else if (const auto worker = idAfter(records::workerPrefix)) {
+            const auto record = decodeWorker(WorkerId(*worker), value);
             node.coordinator->restoreWorker(record.entry, record.onlyRuns, m_now);
         }
     }
@@ -227,13 +195,15 @@
         return;
     if (node->coordinator->isSuperseded()) {
         node->isGone = true;
+        loseCalls(node);
         return;
     }
     if (node->nextRenewal <= m_now) {
         node->nextRenewal = m_now + Duration(350);
         if (!node->isPartitionedFromStore && node->ownerRevision == m_ownerRevision && m_now < m_ownerUntil) {
             m_ownerUntil = m_now + ownerTtl;
-            node->coordinator->setLeaseValidUntil(m_now + ownerTtl);
+            node->leaseValidUntil = m_now + ownerTtl;
+            node->coordinator->setLeaseValidUntil(node->leaseValidUntil);
         }
     }
     if (!node->isRestored) {
@@ -349,20 +319,4 @@
     });
 }
 
-void FleetModel::send(const NodePtr&, const ReplyOrder& order)
-{
-    if (const auto cancelled = m_cancelTokens.find(order.token); cancelled != m_cancelTokens.end()) {
-        if (order.reply.kind == Reply::Kind::Cancelled || order.reply.kind == Reply::Kind::UnknownJob)
-            m_cancelledAt.try_emplace(cancelled->second, m_now);
-        return;
-    }
-    const auto found = m_tokens.find(order.token);
-    if (found == m_tokens.end())
-        return;
-    if (order.reply.kind == Reply::Kind::Accepted)
-        m_accepted.insert(found->second);
-    else if (order.reply.kind == Reply::Kind::Refused)
-        m_refused.insert(found->second);
-}
-
 } // namespace marigoldlink::testing
--- a/unittests/Entry/FleetModel.h
+++ b/unittests/Entry/FleetModel.h
@@ -6,6 +6,7 @@
 
 #include "../Coordination/Choices.h"
 #include "marigoldlink/Entry/Coordinator.h"
+#include "marigoldlink/Entry/PeerCalls.h"
 #include "marigoldlink/Protocol/JobCodec.h"
 
 #include <algorithm>
@@ -32,18 +33,28 @@
     bool restartsWorkers { true };
 };
 
+// How callers' calls reach a coordinator.
+struct ModelCalls {
+    // Calls pass through entry instances, which try them again. Calls and replies are on their way for some time, and
+    // some submissions arrive twice. Otherwise calls and replies arrive at once.
+    bool travel { false };
+    bool delaysSubmissions { true }; // some are on their way for longer than a change of coordinator
+    bool delaysReplies { true };
+};
+
 class FleetModel {
 public:
     static constexpr std::int64_t taskMilliCores = 1000;
     static constexpr std::int64_t workerMilliCores = 3000;
     static constexpr int attempts = 3;
 
-    FleetModel(
-        Choices& choices, ModelFaults faults, int workers, ModelJobs jobs = ModelJobs::AtOnce, ModelStore store = {})
+    FleetModel(Choices& choices, ModelFaults faults, int workers, ModelJobs jobs = ModelJobs::AtOnce,
+        ModelStore store = {}, ModelCalls calls = {})
         : m_choices(choices)
         , m_faults(faults)
         , m_jobs(jobs)
         , m_store(store)
+        , m_calls(calls)
     {
         JobQueue queue;
         queue.id = QueueId("checks");
@@ -65,6 +76,10 @@
     void submit();
     // Cancels an accepted job at any coordinator, which may have been replaced without knowing.
     void cancel();
+    // Cancels a job whose submission was sent and has no answer.
+    void cancelUnanswered();
+    // Cancels an id that no client submits.
+    void cancelNeverSubmitted();
 
     const std::string& violation() const { return m_violation; }
     // Event trace, to analyse a seed that violates a rule.
@@ -77,6 +92,8 @@
     std::vector<JobId> failedWithoutCause() const;
     std::size_t accepted() const { return m_accepted.size(); }
     std::size_t refused() const { return m_refused.size(); }
+    // Acknowledged cancels of jobs whose submission had no answer.
+    std::size_t unansweredCancelled() const { return m_unansweredCancelled; }
     int starts() const { return m_starts; }
     std::uint64_t terms() const { return m_term; }
 
@@ -98,6 +115,13 @@
     static constexpr Duration s_cancelBound { 3000 };
     static constexpr Duration ownerTtl { 1200 };
     static constexpr Duration answerTimeout { 600 };
+    static constexpr std::size_t s_entryInstances = 3;
+    // As entry instances do (FleetNode).
+    static constexpr Duration s_peerTimeout { 1000 };
+    static constexpr Duration s_maxWait { 2000 };
+    static constexpr Duration s_callRetry { 40 };
+    static constexpr int s_maxSends = 3; // of one submission by its client, while it has no answer
+    static constexpr Duration s_lookPeriod { 500 };
 
     struct ModelRun {
         RunNumber number {};
@@ -124,6 +148,8 @@
         std::unique_ptr<Coordinator> coordinator;
         Revision ownerRevision { noRevision };
         TimePoint nextRenewal;
+        TimePoint leaseValidUntil;
+        std::size_t home { 0 }; // the entry instance that shares its process
         bool isRestored { false };
         bool isPaused { false };
         bool isPartitionedFromStore { false };
@@ -131,6 +157,26 @@
     };
     using NodePtr = std::shared_ptr<Node>;
 
+    // A call of a client, which an entry instance passes on until it has a reply.
+    struct ModelCall {
+        FleetCallRequest request;
+        std::size_t entry { 0 };
+        Duration clientTime { 0 }; // for which its client waits
+        TimePoint latest; // until which the entry instance tries
+        CallToken attempt {}; // the present one
+        bool isInFlight { false };
+        bool mayHaveTakenEffect { false };
+        bool isFinished { false }; // at the entry instance
+        bool isAnswered { false }; // at the client
+        bool isGivenUp { false }; // by the client
+    };
+    using CallPtr = std::shared_ptr<ModelCall>;
+
+    struct CallAttempt {
+        CallPtr call;
+        NodePtr node;
+    };
+
     struct Message {
         TimePoint at;
         std::function<void()> run;
@@ -192,6 +238,27 @@
     }
 
     void arrive(const NodePtr& node, const std::function<void()>& action);
+
+    JobSpec drawJob();
+    Duration drawDelay(bool mayBeLong);
+    void sendCall(FleetCallRequest::Kind kind, const JobSpec& job);
+    void giveUp(const CallPtr& call);
+    void receive(const CallPtr& call, const Reply& reply);
+    void receiveSubmitted(const ModelCall& call, const Reply& reply);
+    void learnOwner(const NodePtr& node);
+    // Runs the action once the process of the entry instance is not paused.
+    void atEntry(std::size_t entry, const std::function<void()>& action);
+    void attemptCall(const CallPtr& call);
+    void serveCall(const NodePtr& node, CallToken token, const FleetCallRequest& request);
+    void replyToCall(const NodePtr& node, CallToken token, const Reply& reply, bool mayHaveTakenEffect);
+    void handleAttemptResult(const CallPtr& call, CallToken attempt, const Reply& reply, bool mayHaveTakenEffect);
+    // A coordinator that has learnt of its successor does not know what becomes of the calls that it holds.
+    void loseCalls(const NodePtr& node);
+    void expire(const CallPtr& call);
+    void finish(const CallPtr& call, const std::optional<Reply>& reply);
+    // Checks what coordinators show of accepted jobs and of ids that nobody submitted.
+    void checkLooks();
+
     void send(const NodePtr& node, const StartOrder& order);
 
     std::pair<StartAnswer, std::int64_t> start(const StartOrder& order, std::uint64_t fence);
@@ -209,7 +276,7 @@
     void send(const NodePtr& node, const JournalOrder& order);
     void send(const NodePtr& node, const ReadHeadOrder&);
 
-    void send(const NodePtr&, const ReplyOrder& order);
+    void send(const NodePtr& node, const ReplyOrder& order);
     void send(const NodePtr& node, const ListInstancesOrder&) { node->coordinator->instancesListed({}, m_now); }
     void send(const NodePtr&, const ThrottleOrder&) { }
     void send(const NodePtr&, const MoveOrder&) { }
@@ -220,6 +287,7 @@
     ModelFaults m_faults;
     ModelJobs m_jobs;
     ModelStore m_store;
+    ModelCalls m_calls;
     OperatorState m_operators;
     TimePoint m_now { Duration(100000) };
     std::map<WorkerId, ModelWorker> m_workers;
@@ -241,7 +309,17 @@
     std::map<CallToken, JobId> m_cancelTokens;
     std::map<JobId, TimePoint> m_cancelledAt; // when the cancelling was acknowledged
     std::set<JobId> m_accepted;
-    std::set<JobId> m_refused;
+    std::set<JobId> m_refused; // jobs all of whose submissions were refused
+    std::vector<NodePtr> m_believedOwners { s_entryInstances }; // by entry instance
+    std::map<CallToken, CallAttempt> m_attempts; // without a reply
+    std::map<JobId, int> m_sends; // submissions of a job by its client
+    std::map<JobId, int> m_openSubmissions; // those that were not refused
+    std::set<JobId> m_unanswered; // jobs whose submission has no answer
+    std::set<JobId> m_cancelSent; // ids that some client cancels
+    std::set<JobId> m_neverSubmitted;
+    std::set<JobId> m_startedJobs;
+    TimePoint m_nextLook;
+    std::size_t m_unansweredCancelled { 0 };
     std::set<TaskKey> m_acknowledgedDone;
     std::map<TaskKey, TimePoint> m_lastStartedAt;
     std::map<std::tuple<WorkerId, std::int64_t, std::int64_t>, TimePoint> m_endedAt; // by worker, incarnation and end
--- a/unittests/Entry/FleetModelTest.cpp
+++ b/unittests/Entry/FleetModelTest.cpp
@@ -20,15 +20,16 @@
 
     // Runs ten seeds of the model: 30 s with faults, then 60 s without, by the end of which every accepted job must
     // have ended.
-    void runSeeds(std::uint32_t group, ModelJobs jobs, ModelStore store = {})
+    void runSeeds(std::uint32_t group, ModelJobs jobs, ModelStore store = {}, ModelCalls calls = {})
     {
         constexpr int seedsPerCase = 10;
         std::size_t accepted = 0;
         std::uint64_t terms = 0;
+        std::size_t unansweredCancelled = 0;
         for (std::uint32_t i = 0; i < seedsPerCase; ++i) {
             const auto seed = group * seedsPerCase + i;
             auto choices = choicesOf(seed);
-            FleetModel model(choices, {}, 3, jobs, store);
+            FleetModel model(choices, {}, 3, jobs, store, calls);
             model.run(Duration(500), true);
             model.run(Duration(30000), false);
             ASSERT_EQ(model.violation(), "") << "seed " << seed;
@@ -41,10 +42,13 @@
                 << "seed " << seed << ": " << model.failedWithoutCause()[0] << " has attempts left";
             accepted += model.accepted();
             terms += model.terms();
+            unansweredCancelled += model.unansweredCancelled();
         }
         // Ensures that the runs were not vacuous.
         EXPECT_GT(accepted, 20u * seedsPerCase);
         EXPECT_GT(terms, 2u * seedsPerCase);
+        if (calls.travel)
+            EXPECT_GT(unansweredCancelled, 2u * seedsPerCase);
     }
 
 } // namespace
@@ -67,4 +71,22 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, FleetModelTest, ::testing::Range<std::uint32_t>(0, 12));
 
+class FleetCallsTest : public ::testing::TestWithParam<std::uint32_t> { };
+
+// Guards against UNASKED violations: a cancelling overtakes the submission of its job, is answered that no such job
+// exists, and the job starts once its submission arrives.
+TEST_P(FleetCallsTest, KeepsTheRulesWhileSubmissionsAreOnTheirWay)
+{
+    runSeeds(GetParam(), ModelJobs::AtOnce, {}, { .travel = true });
+}
+
+// Guards against UNASKED violations: a coordinator answers rightly that a job does not exist, and its successor accepts
+// the job before the answer reaches the client. Such a job has to start late to break the rule.
+TEST_P(FleetCallsTest, KeepsTheRulesWhileRepliesAreOnTheirWay)
+{
+    runSeeds(GetParam(), ModelJobs::SomeTimed, {}, { .travel = true, .delaysSubmissions = false });
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FleetCallsTest, ::testing::Range<std::uint32_t>(0, 4));
+
 } // namespace marigoldlink::testing
--- a/unittests/Entry/FleetModelWorkers.cpp
+++ b/unittests/Entry/FleetModelWorkers.cpp
@@ -33,6 +33,10 @@
         return { StartAnswer::Started, now };
     if (highest != worker.highest.end() && order.run <= highest->second)
         return { StartAnswer::OldRun, now };
+    if (!m_specs.contains(order.task.job)) {
+        recordViolation("UNASKED: " + order.task.text() + " is of a job that no client submitted");
+        return { StartAnswer::Unknown, now };
+    }
     check(order);
     addTrace(order.worker.id.value() + " incarnation " + std::to_string(worker.startedMs) + " starts "
         + order.task.text() + " run " + std::to_string(number(order.run)) + " fence " + std::to_string(fence));
@@ -42,6 +46,7 @@
         = { order.run, isService ? TimePoint::max() : m_now + length, m_choices.below(12) == 1 && !isService, m_now };
     ++m_starts;
     m_lastStartedAt[order.task] = m_now;
+    m_startedJobs.insert(order.task.job);
     if (static_cast<std::int64_t>(worker.running.size()) * taskMilliCores > workerMilliCores)
         recordViolation("LIMIT: " + order.worker.id.value() + " exceeds its capacity");
     return { StartAnswer::Started, now };
