Tests: a cancelling that overtakes its submission, with real processes

A client whose POST waits at a frozen entry instance cancels the job at another one and is told 410 at once. When the frozen instance goes on, the job starts, and callers see it running to its end.

--- /dev/null
+++ b/test/NodeCluster.cpp
@@ -0,0 +1,213 @@
+// Processes, clients and configuration of NodeCluster.
+#include "NodeCluster.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <iostream>
+#include <stdexcept>
+#include <sys/wait.h>
+
+namespace marigoldlink::testing {
+
+namespace {
+
+    using standin::Json;
+
+    constexpr Milliseconds s_callerDeadline { 3000 };
+    constexpr Milliseconds s_startTimeout { 20000 };
+    constexpr Milliseconds s_electionTimeout { 15000 };
+    constexpr Milliseconds s_settleTime { 2000 };
+
+    std::string configuration()
+    {
+        const Json route { { "name", "r-q" }, { "host", "jobs.example" }, { "prefix", "/q/" },
+            { "kind", "non_idempotent" }, { "timeout_ms", 3000 }, { "slo_ms", 600 }, { "priority", 0 },
+            { "service", "press" }, { "attempts", 3 }, { "stretch", 1.6 }, { "no_auth", false } };
+        auto tenants = Json::array();
+        for (const char* number : { "1", "2" })
+            tenants.push_back({ { "name", std::string("t-") + number }, { "weight", 1 },
+                { "api_keys", { std::string("key-") + number } } });
+        return Json {
+            { "version", 1 }, { "routes", Json::array({ route }) },
+            { "services", Json::array({ { { "name", "press" }, { "rejects_overload", false } } }) },
+            { "tenants", tenants }, { "limits", Json::object() }
+        }.dump();
+    }
+
+    std::string newFolder()
+    {
+        auto folder = (std::filesystem::temp_directory_path() / "marigold-nodes-XXXXXX").string();
+        if (!::mkdtemp(folder.data()))
+            throw std::runtime_error("no temporary folder");
+        return folder;
+    }
+
+} // namespace
+
+Caller::Caller(const standin::Node& node, std::string key)
+    : m_name(node.name)
+    , m_port(node.front)
+    , m_key(std::move(key))
+{
+}
+
+void Caller::send(const std::string& method, const std::string& path, const std::string& body)
+{
+    standin::record.line("client sends %s %s to %s", method.c_str(), path.c_str(), m_name.c_str());
+    if (m_descriptor < 0) {
+        m_descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const auto address = standin::loopback(m_port, standin::nodeAddress());
+        if (::connect(m_descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)))
+            return close();
+        standin::setNoDelay(m_descriptor);
+    }
+    if (!standin::sendAll(m_descriptor,
+            method + " " + path + " HTTP/1.1\r\nhost: jobs.example\r\ncredential: " + m_key
+                + "\r\ncontent-type: application/json\r\ndeadline-ms: " + std::to_string(s_callerDeadline.count())
+                + "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" + body))
+        close();
+}
+
+CallerResponse Caller::receive(Milliseconds timeout)
+{
+    const auto message = m_descriptor < 0
+        ? std::nullopt
+        : standin::readMessage(m_descriptor, m_buffer, static_cast<int>(timeout.count()));
+    CallerResponse response;
+    if (message) {
+        response.status = std::stoi(message->firstLine.substr(message->firstLine.find(' ') + 1));
+        response.headers = message->headers;
+        response.body = message->body;
+    } else {
+        close();
+    }
+    standin::record.line("client gets %d %s from %s", response.status, response.body.c_str(), m_name.c_str());
+    return response;
+}
+
+CallerResponse Caller::call(const std::string& method, const std::string& path, const std::string& body)
+{
+    send(method, path, body);
+    return receive(s_callerDeadline);
+}
+
+void Caller::close()
+{
+    if (m_descriptor >= 0)
+        ::close(m_descriptor);
+    m_descriptor = -1;
+    m_buffer.clear();
+}
+
+NodeCluster::NodeCluster(std::size_t nodes)
+    : m_folder(newFolder())
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    standin::record.open(m_folder + "/record.txt");
+    m_world = new standin::World(MARIGOLD_NODE_PROGRAM, m_folder, nodes);
+    for (const char* zone : { "zone-a", "zone-b", "zone-c" })
+        m_world->addWorker(std::string("i-") + zone, "press", zone, 64);
+    for (std::size_t i = 0; i < nodes; ++i)
+        m_world->nodes[i].zone = std::string("zone-") + static_cast<char>('a' + i % 3);
+    m_world->store.put("op/config", configuration());
+    m_world->start();
+}
+
+NodeCluster::~NodeCluster()
+{
+    m_world->stop();
+    if (::testing::Test::HasFailure())
+        std::cout << std::ifstream(m_folder + "/record.txt").rdbuf() << std::endl;
+    std::error_code ignored;
+    std::filesystem::remove_all(m_folder, ignored);
+}
+
+NodeIndex NodeCluster::awaitCoordinator()
+{
+    if (!m_world->awaitLeader(static_cast<int>(s_startTimeout.count())))
+        throw std::runtime_error("no coordinator in time");
+    // Another one may be elected while the processes start.
+    standin::sleepMs(s_settleTime.count());
+    return NodeIndex(m_world->store.lastWriter().value());
+}
+
+NodeIndex NodeCluster::awaitSuccessor(NodeIndex coordinator)
+{
+    const auto successor
+        = m_world->awaitOtherLeader(static_cast<std::size_t>(coordinator), static_cast<int>(s_electionTimeout.count()));
+    if (!successor)
+        throw std::runtime_error("no other coordinator in time");
+    return NodeIndex(*successor);
+}
+
+NodeIndex NodeCluster::after(NodeIndex index, std::size_t n) const
+{
+    return NodeIndex((static_cast<std::size_t>(index) + n) % m_world->nodes.size());
+}
+
+const standin::Node& NodeCluster::node(NodeIndex index) const
+{
+    return m_world->nodes[static_cast<std::size_t>(index)];
+}
+
+void NodeCluster::freeze(NodeIndex index)
+{
+    standin::record.line("DISRUPTION: %s freezes", node(index).name.c_str());
+    m_world->signalNode(static_cast<std::size_t>(index), SIGSTOP);
+    siginfo_t info {};
+    if (::waitid(P_PID, static_cast<id_t>(node(index).process), &info, WSTOPPED | WEXITED | WNOWAIT)
+        || info.si_code != CLD_STOPPED)
+        throw std::runtime_error("the process to freeze has ended");
+}
+
+void NodeCluster::thaw(NodeIndex index)
+{
+    standin::record.line("%s goes on", node(index).name.c_str());
+    m_world->signalNode(static_cast<std::size_t>(index), SIGCONT);
+}
+
+void NodeCluster::kill(NodeIndex index)
+{
+    standin::record.line("DISRUPTION: %s is killed", node(index).name.c_str());
+    m_world->signalNode(static_cast<std::size_t>(index), SIGKILL);
+    m_world->awaitEnd(static_cast<std::size_t>(index), 1000);
+}
+
+void NodeCluster::restart(NodeIndex index) { m_world->startNode(static_cast<std::size_t>(index)); }
+
+std::vector<standin::Run> NodeCluster::runs(const std::string& job) const
+{
+    const std::lock_guard guard(standin::worldLock);
+    std::vector<standin::Run> found;
+    for (const auto& worker : m_world->workers) {
+        for (const auto& run : worker->runs()) {
+            if (run.task.starts_with(job + "."))
+                found.push_back(run);
+        }
+    }
+    return found;
+}
+
+std::string twoStepJob(Milliseconds first, Milliseconds second)
+{
+    const auto step = [](Milliseconds time) {
+        return Json { { "count", 2 }, { "cpu", 2000 }, { "mem_mb", 500 }, { "est_ms", time.count() } };
+    };
+    auto dependent = step(second);
+    dependent["after"] = { 0 };
+    const Json work { { "steps", { { { "ms", first.count() } }, { { "ms", second.count() } } } } };
+    return Json { { "spec", work.dump() }, { "steps", { step(first), dependent } } }.dump();
+}
+
+std::optional<std::string> shownState(const CallerResponse& response)
+{
+    const auto body = Json::parse(response.body, nullptr, false);
+    if (response.status != 200 || !body.is_object() || !body.contains("state"))
+        return std::nullopt;
+    return body.at("state").get<std::string>();
+}
+
+} // namespace marigoldlink::testing
--- /dev/null
+++ b/test/NodeCluster.h
@@ -0,0 +1,96 @@
+// Real marigold-node processes against stand-ins of the hosting platform, and clients that call them.
+//
+// For tests of what callers and workers see while processes freeze, end and start again. The threads of the stand-ins
+// run until the test's process ends.
+#pragma once
+
+#include "world.h"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace marigoldlink::testing {
+
+using Milliseconds = std::chrono::milliseconds;
+
+// A process of the cluster, in the order of World::nodes.
+enum class NodeIndex : std::size_t {};
+
+// Bounds of the platform's pages.
+constexpr Milliseconds s_cancelBound { 3000 };
+constexpr Milliseconds s_stopBound { 900 };
+
+struct CallerResponse {
+    int status { 0 }; // 0: no response in time, or the connection ended
+    std::map<std::string, std::string> headers; // by lower-case name
+    std::string body;
+
+    // A rejected submission never runs.
+    bool isRejection() const { return status == 429 || status == 503; }
+    bool isCancelAcknowledged() const { return (status >= 200 && status < 300) || status == 410; }
+};
+
+// A team's connection to one process, kept open between requests. It ends with the first request that gets no response.
+class Caller {
+public:
+    Caller(const standin::Node&, std::string key);
+    ~Caller() { close(); }
+    Caller(const Caller&) = delete;
+    Caller& operator=(const Caller&) = delete;
+
+    void send(const std::string& method, const std::string& path, const std::string& body = "");
+    CallerResponse receive(Milliseconds timeout);
+    CallerResponse call(const std::string& method, const std::string& path, const std::string& body = "");
+    void close();
+
+private:
+    std::string m_name;
+    int m_port;
+    std::string m_key;
+    int m_descriptor { -1 };
+    std::string m_buffer;
+};
+
+// Three zones with a worker each. The destructor kills the processes, and prints the record of a failed test.
+class NodeCluster {
+public:
+    explicit NodeCluster(std::size_t nodes = 3);
+    ~NodeCluster();
+    NodeCluster(const NodeCluster&) = delete;
+    NodeCluster& operator=(const NodeCluster&) = delete;
+
+    // Throws std::runtime_error, which fails the test, if no coordinator is elected in time.
+    NodeIndex awaitCoordinator();
+    NodeIndex awaitSuccessor(NodeIndex coordinator);
+    // The n-th process after this one.
+    NodeIndex after(NodeIndex, std::size_t n = 1) const;
+    const standin::Node& node(NodeIndex) const;
+
+    // Returns when all threads of the process have stopped.
+    void freeze(NodeIndex);
+    void thaw(NodeIndex);
+    void kill(NodeIndex);
+    void restart(NodeIndex);
+
+    // All starts of the job's tasks that workers have seen.
+    std::vector<standin::Run> runs(const std::string& job) const;
+
+    standin::World& world() { return *m_world; }
+    static Milliseconds now() { return Milliseconds(standin::record.now()); }
+
+private:
+    std::string m_folder;
+    standin::World* m_world; // never deleted, as its threads refer to it
+};
+
+// Two steps of two tasks each; the second one follows the first.
+std::string twoStepJob(Milliseconds first, Milliseconds second);
+
+// The state that a response to a GET of a job shows, or nothing.
+std::optional<std::string> shownState(const CallerResponse&);
+
+} // namespace marigoldlink::testing
