Tests: overtaken submissions across a change of coordinator, their responses, and unknown cancellings without bound

What callers may rely on after an acknowledged cancelling: the job never starts when the coordinator is killed before or after the late submission, the late submission is rejected (429 or 503), and a read shows 410 or cancelled. A job that was cancelled and never submitted is not shown, before and after a change of coordinator. A team gets 410 for at most 500 unknown ids that are remembered at a time, 429 with Retry-After beyond them, and takes nothing from other teams.

--- a/test/CancellingTest.cpp
+++ b/test/CancellingTest.cpp
@@ -3,6 +3,7 @@
 
 #include <cstdlib>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace marigoldlink::testing {
 
@@ -18,6 +19,13 @@
     const std::string s_job = "00000000000000b2";
     const std::string s_path = "/q/" + s_job;
 
+    std::string jobId(std::size_t number)
+    {
+        char text[17];
+        std::snprintf(text, sizeof(text), "%016zx", number);
+        return text;
+    }
+
     void sleepUntil(Milliseconds time) { standin::sleepMs((time - NodeCluster::now()).count()); }
 
     // A submission that waits in the socket of a frozen instance, and the cancelling that overtakes it.
@@ -116,6 +124,151 @@
     scene.expectNothingStarts();
 }
 
+// Fails if what a cancelling leaves behind is lost with the coordinator that acknowledged it.
+TEST(Cancelling, OvertakenSubmissionNeverStartsAtASuccessor)
+{
+    OvertakenSubmission scene;
+    scene.freezeEntry();
+    scene.submit();
+    ASSERT_EQ(scene.submitter().receive(s_clientPatience).status, 0);
+    scene.cancel();
+    scene.cluster().kill(scene.coordinator());
+    scene.thawEntry();
+    scene.expectNothingStarts();
+}
+
+// Fails if a successor accepts the submission, which is passed on only when that successor is in charge.
+TEST(Cancelling, OvertakenSubmissionNeverStartsAfterAnElection)
+{
+    OvertakenSubmission scene;
+    scene.freezeEntry();
+    scene.submit();
+    ASSERT_EQ(scene.submitter().receive(s_clientPatience).status, 0);
+    scene.cancel();
+    scene.cluster().kill(scene.coordinator());
+    scene.cluster().awaitSuccessor(scene.coordinator());
+    scene.thawEntry();
+    scene.expectNothingStarts();
+}
+
+// Fails if a successor starts a submission that its predecessor has received too late.
+TEST(Cancelling, OvertakenSubmissionNeverStartsWhenTheCoordinatorIsKilledAfterIt)
+{
+    constexpr Milliseconds timeToPassOn { 300 };
+    OvertakenSubmission scene;
+    scene.freezeEntry();
+    scene.submit();
+    ASSERT_EQ(scene.submitter().receive(s_clientPatience).status, 0);
+    scene.cancel();
+    scene.thawEntry();
+    standin::sleepMs(timeToPassOn.count());
+    scene.cluster().kill(scene.coordinator());
+    scene.expectNothingStarts();
+}
+
+// Fails if a cancelling of an unknown job makes a job visible, at this coordinator or its successor.
+TEST(Cancelling, CancelledButNeverSubmittedIsNotShown)
+{
+    NodeCluster cluster;
+    const auto coordinator = cluster.awaitCoordinator();
+    const auto other = cluster.after(coordinator);
+    Caller caller(cluster.node(other), "key-1");
+    ASSERT_EQ(caller.call("DELETE", s_path).status, 410);
+    const auto expectNotShown = [&](NodeIndex index) {
+        Caller reader(cluster.node(index), "key-1");
+        EXPECT_EQ(reader.call("GET", s_path).status, 410);
+        const auto queue = reader.call("GET", "/q/");
+        EXPECT_EQ(queue.status, 200);
+        EXPECT_EQ(standin::Json::parse(queue.body, nullptr, false).value("waiting", -1), 0) << queue.body;
+    };
+    for (std::size_t n = 0; n < 3; ++n)
+        expectNotShown(cluster.after(coordinator, n));
+
+    cluster.kill(coordinator);
+    // Until a successor answers, a read may be rejected or get no response, but shows no job.
+    const auto until = NodeCluster::now() + Milliseconds(15000);
+    int status = 0;
+    while (status != 410 && NodeCluster::now() < until) {
+        Caller reader(cluster.node(other), "key-1");
+        status = reader.call("GET", s_path).status;
+        ASSERT_NE(status, 200);
+        standin::sleepMs(s_poll.count());
+    }
+    ASSERT_EQ(status, 410);
+    cluster.awaitSuccessor(coordinator);
+    for (std::size_t n = 1; n < 3; ++n)
+        expectNotShown(cluster.after(coordinator, n));
+}
+
+// Fails if cancellings of ids that never existed are remembered without bound, or push out those of other teams.
+TEST(Cancelling, CancellingsOfUnknownJobsAreBoundedPerTeam)
+{
+    constexpr std::size_t cancellings = 600;
+    constexpr std::size_t bound = 500; // remembered for each team at a time
+    constexpr std::size_t connections = 6;
+    NodeCluster cluster;
+    const auto coordinator = cluster.awaitCoordinator();
+    std::vector<CallerResponse> responses(cancellings);
+    std::vector<std::thread> threads;
+    for (std::size_t connection = 0; connection < connections; ++connection) {
+        threads.emplace_back([&, connection] {
+            Caller caller(cluster.node(cluster.after(coordinator, connection)), "key-1");
+            for (std::size_t i = connection; i < cancellings; i += connections)
+                responses[i] = caller.call("DELETE", "/q/" + jobId(i));
+        });
+    }
+    for (auto& thread : threads)
+        thread.join();
+    std::size_t acknowledged = 0;
+    for (const auto& response : responses) {
+        acknowledged += response.status == 410;
+        EXPECT_TRUE(response.status == 410 || response.status == 429) << response.status;
+        EXPECT_TRUE(response.status != 429 || response.headers.contains("retry-after"));
+    }
+    EXPECT_LE(acknowledged, bound);
+    EXPECT_GT(acknowledged, 0U);
+
+    const auto other = cluster.after(coordinator);
+    Caller otherTeam(cluster.node(other), "key-2");
+    EXPECT_EQ(otherTeam.call("DELETE", "/q/" + jobId(cancellings)).status, 410);
+
+    Caller sameTeam(cluster.node(other), "key-1");
+    const auto path = "/q/" + jobId(cancellings + 1);
+    EXPECT_EQ(sameTeam.call("POST", path, twoStepJob(s_firstStep, s_secondStep)).status, 200);
+    EXPECT_EQ(sameTeam.call("DELETE", path).status, 200);
+    EXPECT_EQ(shownState(sameTeam.call("GET", path)).value_or("none"), "cancelled");
+}
+
+// Fails if a submission that arrives after the acknowledgement of its cancelling is told that the job was accepted.
+TEST(Cancelling, OvertakenSubmissionIsRejected)
+{
+    constexpr Milliseconds responseTime { 5000 };
+    constexpr Milliseconds observation { 6000 };
+    OvertakenSubmission scene;
+    scene.freezeEntry();
+    scene.submit();
+    scene.cancel();
+    scene.thawEntry();
+    const auto response = scene.submitter().receive(responseTime);
+    EXPECT_TRUE(response.isRejection()) << response.status << ' ' << response.body;
+    const auto until = NodeCluster::now() + observation;
+    bool isOver;
+    do {
+        isOver = NodeCluster::now() >= until;
+        for (std::size_t n = 0; n < 3; ++n) {
+            Caller reader(scene.cluster().node(scene.cluster().after(scene.coordinator(), n)), "key-1");
+            const auto read = reader.call("GET", s_path);
+            if (read.status == 200) {
+                EXPECT_EQ(shownState(read).value_or("none"), "cancelled");
+            } else if (isOver) {
+                EXPECT_EQ(read.status, 410);
+            }
+        }
+        standin::sleepMs(Milliseconds(200).count());
+    } while (!isOver);
+    EXPECT_TRUE(scene.cluster().runs(s_job).empty());
+}
+
 } // namespace marigoldlink::testing
 
 int main(int argc, char** argv)
--- a/test/NodeCluster.cpp
+++ b/test/NodeCluster.cpp
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
@@ -37,6 +38,20 @@
         }.dump();
     }
 
+    void printEnd(const std::string& file)
+    {
+        constexpr std::size_t maxLines = 300;
+        std::deque<std::string> lines;
+        std::ifstream input(file);
+        for (std::string line; std::getline(input, line);) {
+            lines.push_back(line);
+            if (lines.size() > maxLines)
+                lines.pop_front();
+        }
+        for (const auto& line : lines)
+            std::cout << line << '\n';
+    }
+
     std::string newFolder()
     {
         auto folder = (std::filesystem::temp_directory_path() / "marigold-nodes-XXXXXX").string();
@@ -120,7 +135,7 @@
 {
     m_world->stop();
     if (::testing::Test::HasFailure())
-        std::cout << std::ifstream(m_folder + "/record.txt").rdbuf() << std::endl;
+        printEnd(m_folder + "/record.txt");
     std::error_code ignored;
     std::filesystem::remove_all(m_folder, ignored);
 }
--- a/test/NodeCluster.h
+++ b/test/NodeCluster.h
@@ -55,7 +55,7 @@
     std::string m_buffer;
 };
 
-// Three zones with a worker each. The destructor kills the processes, and prints the record of a failed test.
+// Three zones with a worker each. The destructor kills the processes, and prints the end of a failed test's record.
 class NodeCluster {
 public:
     explicit NodeCluster(std::size_t nodes = 3);
