Log: every answer to a submission or cancelling, with limits of its own

Cause: one limit of 30 lines a second covered all lines about jobs.

- The coordinator logs each decision on a submission (accepted, repeated, refused) and a cancelling (state and versions of a known job, unknown, unknown without a valid lease) with term, fence, rest of the election lease, entry instance and age, and the release of a reply that waited for the store.
A takeover names its term.
- The entry instance logs each answered submission and cancelling, also a served one: outcome, wait, attempts, and whether the caller had left.
HttpResponder::hasCallerLeft asks the socket: h2o does not read an HTTP/1.1 connection while a request on it is pending, so isOpen() stays true there (two tests of HttpServerTest.cpp fail with isOpen() in its place).
- DecisionLimiter, formerly part of main.cpp, has limits and counts by subject.
The lines above and the ends of jobs have 400 a second for each subject.
Uncertain denials, which are repeated every 40 ms for each call, have a subject of their own.
The warning names how many lines of which subject were left out and comes without a further decision; marigold_unlogged_decisions_total has the label subject (at most 65).
- An instance whose event loop was late by more than 250 ms says so.
The age of a call does not include the time that it spent in the socket of a frozen instance; this line does.
- The list of steps in a line ends after six; a job may have a thousand.

No decision changes. The entry, transport and platform unit tests pass (163, 11, 15). With one count for all subjects in the limiter (trial, not committed) all five of its tests fail.

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -46,7 +46,9 @@
 
 // An entry of the decision log. The adapter writes the log and limits its rate.
 struct Decision {
-    std::string subject; // "job", "task", "service" (a task of one), "worker", "wave" ...
+    // About a job: "submission", "cancelling", "uncertain_cancelling" (without a valid election lease), "reply" (to one
+    // of these, that waited for the store), "job_end". Others: "task", "service" (a task of one), "worker", "wave" ...
+    std::string subject;
     std::string id;
     std::string text;
 };
@@ -120,6 +122,7 @@
         CallToken token {};
         std::uint64_t version { 0 };
         Reply reply;
+        TimePoint since;
     };
     struct RecordVersion {
         JobId job;
@@ -128,6 +131,11 @@
     };
 
     void log(const std::string& subject, const std::string& id, const std::string& text) const;
+    // Logs the decision on a caller's call, with all that tells whether another coordinator may decide otherwise.
+    void logCall(
+        const char* subject, const JobId&, const std::string& decision, const CallOrigin&, TimePoint now) const;
+    // State and versions of a job, for the log.
+    static std::string progressText(const Job&);
     void measure(const Measurement&) const;
     const JobQueue& queueOf(const JobSpec&) const;
 
@@ -147,7 +155,7 @@
     void flushJobs(TimePoint now);
     void sendJournal(TimePoint now);
     void batchStored(const JournalBatch&, TimePoint now);
-    void releaseReplies(const JobId&);
+    void releaseReplies(const JobId&, TimePoint now);
     void removeOldJobs(TimePoint now);
     // Refuses submissions whose record could not be sent to the store in time, so that their callers can retry.
     void refuseUnsent(TimePoint now);
--- a/include/marigoldlink/Entry/FleetMetrics.h
+++ b/include/marigoldlink/Entry/FleetMetrics.h
@@ -1,6 +1,7 @@
 // Metrics of an entry instance, in Prometheus text format: counters, gauges, and histograms by team and priority.
 #pragma once
 
+#include "marigoldlink/Entry/DecisionLimiter.h"
 #include "marigoldlink/Entry/Measurements.h"
 
 #include <memory>
@@ -17,7 +18,8 @@
     void record(const Measurement&);
     // Sets whether this instance is the coordinator. The gauges of pools and jobs are zero while it is not.
     void setCoordinator(bool isCoordinator);
-    void countUnloggedDecisions(int count);
+    // Adds lines that the decision log left out. The limiter of the log bounds the number of subjects.
+    void countUnloggedDecisions(const DecisionLimiter::Counts&);
 
     std::string text() const;
 
--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -32,6 +32,7 @@
 
     Kind kind { Kind::NotReached };
     Reply reply;
+    int attempts { 0 }; // how often the call was passed to a coordinator
 };
 
 using CallCallback = std::function<void(const CallResult&)>;
@@ -113,6 +114,7 @@
         EventLoop::Timer timer;
         TimePoint receivedAt;
         TimePoint latest; // deadline of the caller
+        int attempts { 0 };
         bool isInFlight { false };
         bool mayHaveTakenEffect { false }; // some attempt had no answer and may have taken effect
     };
@@ -320,6 +322,7 @@
             if (!m_runner->isReady())
                 return;
             pending.isInFlight = true;
+            ++pending.attempts;
             serveCall(pending.request, [this, id](const Reply& reply, bool mayHaveTakenEffect) {
                 handleAttemptResult(id, reply, mayHaveTakenEffect);
             });
@@ -334,6 +337,7 @@
             return;
         }
         pending.isInFlight = true;
+        ++pending.attempts;
         HttpCall http;
         http.method = "POST";
         http.target = s_callPath;
@@ -393,9 +397,10 @@
         finish(id, { mayHaveTakenEffect ? CallResult::Kind::Unknown : CallResult::Kind::NotReached, {} });
     }
 
-    void finish(std::uint64_t id, const CallResult& result)
+    void finish(std::uint64_t id, CallResult result)
     {
         auto pending = m_calls.extract(id);
+        result.attempts = pending.mapped().attempts;
         m_loop.cancel(pending.mapped().timer);
         pending.mapped().callback(result);
     }
--- a/include/marigoldlink/Entry/Measurements.h
+++ b/include/marigoldlink/Entry/Measurements.h
@@ -84,6 +84,8 @@
     CallOutcome outcome { CallOutcome::Done };
     Duration time { 0 };
     std::int64_t configVersion { 0 }; // version of the configuration that was applied
+    int attempts { 0 }; // how often the call was passed to a coordinator
+    bool hasCallerLeft { false }; // the caller had disconnected when the answer was ready
 };
 using CallSink = std::function<void(const CallReport&)>;
 
--- a/include/marigoldlink/Transport/HttpServer.h
+++ b/include/marigoldlink/Transport/HttpServer.h
@@ -45,6 +45,9 @@
     virtual void send(HttpResponse) = 0;
     // False once the response was sent or the caller has disconnected.
     virtual bool isOpen() const = 0;
+    // True if the caller has disconnected or closed its sending half; asks the socket. An HTTP/1.1 connection is not
+    // read while a request on it is pending, so isOpen() and onClosed() do not tell there.
+    virtual bool hasCallerLeft() const = 0;
     // Calls back once if the caller disconnects before the response is sent.
     virtual void onClosed(std::function<void()>) = 0;
 };
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -39,6 +39,7 @@
     constexpr Duration s_arrivalDecayTime { 800 };
     // Time from the end of a move to the first start: registration, first poll, and storing the worker's record.
     constexpr Duration s_joinDelay { 300 };
+    constexpr std::size_t s_maxDescribedSteps = 6; // a job may have a thousand
 
     // Work in milli-core milliseconds that a job can do within the given time after its start, by the caller's
     // estimates. Services are not counted.
@@ -63,7 +64,10 @@
     std::string describeSteps(const JobSpec& spec)
     {
         std::string text;
-        for (const auto& step : spec.steps) {
+        for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+            const auto& step = spec.steps[i];
+            if (i == s_maxDescribedSteps)
+                return text + ", " + std::to_string(spec.steps.size() - i) + " more steps";
             text += (text.empty() ? "" : ", ") + std::to_string(step.tasks) + " x "
                 + std::to_string(step.need.milliCores) + " m" + std::to_string(step.need.memoryMegabytes);
             if (step.isService)
@@ -100,6 +104,26 @@
         m_sinks.log({ subject, id, text });
 }
 
+void Coordinator::logCall(
+    const char* subject, const JobId& id, const std::string& decision, const CallOrigin& origin, TimePoint now) const
+{
+    if (!m_sinks.log)
+        return;
+    const auto milliseconds = [](Duration time) { return std::to_string(time.count()) + " ms"; };
+    auto text = decision + "; term " + std::to_string(m_term.number) + ", fence " + std::to_string(m_term.fence) + ", "
+        + (m_leaseValidUntil == TimePoint::max() ? "no lease limit" : "lease " + milliseconds(m_leaseValidUntil - now));
+    text += "; " + (origin.entry.empty() ? "entry unknown" : "entry " + origin.entry);
+    text += origin.age ? ", age " + milliseconds(*origin.age) : ", age unknown";
+    m_sinks.log({ subject, id.value(), std::move(text) });
+}
+
+std::string Coordinator::progressText(const Job& job)
+{
+    const bool isRunning = job.state == JobState::Pending && job.hasStarted;
+    return std::string(name(isRunning ? JobState::Running : job.state)) + ", version " + std::to_string(job.version)
+        + ", stored " + std::to_string(job.storedVersion);
+}
+
 void Coordinator::measure(const Measurement& measurement) const
 {
     if (m_sinks.measure)
@@ -142,8 +166,8 @@
     scheduleFullPlacement();
     m_nextTick = now;
     log("coordinator", std::to_string(m_term.fence),
-        "took over with " + std::to_string(m_jobs.activeJobs().size()) + " active jobs and "
-            + std::to_string(m_workers.workers().size()) + " workers");
+        "took over in term " + std::to_string(m_term.number) + " with " + std::to_string(m_jobs.activeJobs().size())
+            + " active jobs and " + std::to_string(m_workers.workers().size()) + " workers");
 }
 
 void Coordinator::setOperators(const OperatorState& operators, TimePoint now)
@@ -162,22 +186,25 @@
     m_nextTick = now;
 }
 
-void Coordinator::submit(CallToken token, JobSpec spec, TimePoint now, std::optional<Duration> wait, const CallOrigin&)
+void Coordinator::submit(
+    CallToken token, JobSpec spec, TimePoint now, std::optional<Duration> wait, const CallOrigin& origin)
 {
     const auto id = spec.id;
     if (const auto* known = m_jobs.find(id)) {
+        logCall("submission", id, "submitted again: " + progressText(*known), origin, now);
         if (known->storedVersion)
             m_orders.emplace_back(ReplyOrder { token, { Reply::Kind::Accepted, {}, 0, {} } });
         else
-            m_replies[id].push_back({ token, 1, { Reply::Kind::Accepted, {}, 0, {} } });
+            m_replies[id].push_back({ token, 1, { Reply::Kind::Accepted, {}, 0, {} }, now });
         return;
     }
     const auto limit = wait ? std::min(s_submissionTimeout, *wait - s_replyMargin) : s_submissionTimeout;
     const auto expected = expectedStoreTime(now);
     if (expected > limit) {
-        log("job", id.value(),
+        logCall("submission", id,
             "refused: record would be stored in " + std::to_string(expected.count()) + " ms, limit "
-                + std::to_string(limit.count()) + " ms");
+                + std::to_string(limit.count()) + " ms",
+            origin, now);
         m_orders.emplace_back(ReplyOrder { token, { Reply::Kind::Refused, {}, 0, s_storeRetryAfter } });
         return;
     }
@@ -190,27 +217,33 @@
     if (!job.spec.schedule.isTimed())
         m_arrivals.try_emplace(job.queue.service, s_arrivalDecayTime)
             .first->second.add(now, estimateWork(m_settings.moveTime + s_joinDelay, job.spec));
-    log("job", id.value(),
-        "submitted to " + job.spec.queue.value() + " by " + job.spec.team.value() + ": " + describeSteps(job.spec));
-    m_replies[id].push_back({ token, job.version, { Reply::Kind::Accepted, {}, 0, {} } });
+    logCall("submission", id,
+        "submitted to " + job.spec.queue.value() + " by " + job.spec.team.value() + ": " + describeSteps(job.spec),
+        origin, now);
+    m_replies[id].push_back({ token, job.version, { Reply::Kind::Accepted, {}, 0, {} }, now });
     m_nextFlush = std::min(m_nextFlush, now + s_submissionDelay);
     m_nextTick = std::min(m_nextTick, now + s_submissionDelay);
 }
 
-void Coordinator::cancel(CallToken token, const JobId& id, TimePoint now, const CallOrigin&)
+void Coordinator::cancel(CallToken token, const JobId& id, TimePoint now, const CallOrigin& origin)
 {
     auto* job = m_jobs.find(id);
     if (!job) {
         // A successor may have accepted the job, so a negative answer requires that there is none.
         const bool isCertain = isLeaseValid(now);
+        // The entry instance repeats an uncertain call many times a second.
         if (isCertain)
-            log("job", id.value(), "cancelling: unknown job, term " + std::to_string(m_term.number));
+            logCall("cancelling", id, "cancelling: unknown job", origin, now);
+        else
+            logCall("uncertain_cancelling", id, "cancelling: unknown job, not certain", origin, now);
         const auto kind = isCertain ? Reply::Kind::UnknownJob : Reply::Kind::NotCoordinator;
         m_orders.emplace_back(ReplyOrder { token, { kind, {}, 0, {} } });
         return;
     }
-    if (m_jobs.cancel(id, now)) {
-        log("job", id.value(), "cancelled");
+    const auto before = progressText(*job);
+    const bool wasActive = m_jobs.cancel(id, now);
+    logCall("cancelling", id, (wasActive ? "cancelled, was " : "cancelling: has ended, ") + before, origin, now);
+    if (wasActive) {
         measure(JobEnded { job->spec.team, job->queue.priority, job->state, now - job->acceptedAt });
         stopRunsOf(*job, now);
         m_advice.forget(id);
@@ -221,7 +254,7 @@
     if (job->storedVersion >= job->version)
         m_orders.emplace_back(ReplyOrder { token, reply });
     else
-        m_replies[id].push_back({ token, job->version, reply });
+        m_replies[id].push_back({ token, job->version, reply, now });
 }
 
 Reply Coordinator::jobStatus(const JobId& id) const
@@ -364,7 +397,7 @@
         if (const auto* job = m_jobs.find(recordVersion->second.job); job && !job->storedVersion)
             schedulePlacement(job->queue.service);
         m_jobs.markStored(recordVersion->second.job, recordVersion->second.version, recordVersion->second.state);
-        releaseReplies(recordVersion->second.job);
+        releaseReplies(recordVersion->second.job, now);
     }
     std::erase_if(m_withPendingEnds, [&](const WorkerId& id) {
         auto* worker = m_workers.find(id);
@@ -379,7 +412,7 @@
     m_nextTick = now;
 }
 
-void Coordinator::releaseReplies(const JobId& id)
+void Coordinator::releaseReplies(const JobId& id, TimePoint now)
 {
     const auto found = m_replies.find(id);
     const auto* job = m_jobs.find(id);
@@ -388,6 +421,9 @@
     std::erase_if(found->second, [&](const PendingReply& pending) {
         if (pending.version > job->storedVersion)
             return false;
+        log("reply", id.value(),
+            std::string(pending.reply.kind == Reply::Kind::Cancelled ? "cancelling" : "submission") + " stored after "
+                + std::to_string((now - pending.since).count()) + " ms, version " + std::to_string(pending.version));
         m_orders.emplace_back(ReplyOrder { pending.token, pending.reply });
         return true;
     });
@@ -419,7 +455,7 @@
         const auto* job = m_jobs.find(id);
         if (!job->isActive() || !m_journal.cancelPut(records::job(id)))
             continue;
-        log("job", id.value(), "refused: record could not be sent to the store in time");
+        log("submission", id.value(), "refused: record could not be sent to the store in time");
         m_queuedVersions.erase(records::job(id));
         m_batchVersions.erase(records::job(id));
         m_unstoredJobs.erase(id);
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -359,7 +359,7 @@
     if (const auto* task = m_jobs.findTask(key); task && task->notBefore > now)
         schedulePlacementAt(task->notBefore);
     if (wasActive && !job->isActive()) {
-        log("job", key.job.value(), std::string("ended: ") + name(job->state));
+        log("job_end", key.job.value(), std::string("ended: ") + name(job->state));
         measure(JobEnded { job->spec.team, job->queue.priority, job->state, now - job->acceptedAt });
         stopRunsOf(*job, now);
         m_advice.forget(key.job);
--- a/lib/Entry/FleetMetrics.cpp
+++ b/lib/Entry/FleetMetrics.cpp
@@ -59,7 +59,7 @@
     Family<prometheus::Counter>& orders;
     prometheus::Counter& loopIterations;
     prometheus::Gauge& coordinator;
-    prometheus::Counter& unlogged;
+    Family<prometheus::Counter>& unlogged;
     CountersByValue<RunEnd> runsByEnd;
     CountersByValue<StartAnswer> startsByAnswer;
     std::set<TeamId> knownTeams;
@@ -96,8 +96,7 @@
               family(prometheus::BuildGauge(), "marigold_is_coordinator", "1 while this instance is the coordinator.")
                   .Add({}))
         , unlogged(family(prometheus::BuildCounter(), "marigold_unlogged_decisions_total",
-              "Decisions that the bound of the log left out.")
-                       .Add({}))
+              "Decisions that the limits of the log left out, by subject."))
     {
     }
 
@@ -195,7 +194,11 @@
     m_impl->record(JobsMeasured {});
 }
 
-void FleetMetrics::countUnloggedDecisions(int count) { m_impl->unlogged.Increment(count); }
+void FleetMetrics::countUnloggedDecisions(const DecisionLimiter::Counts& counts)
+{
+    for (const auto& [subject, count] : counts)
+        m_impl->unlogged.Add({ { "subject", subject } }).Increment(count);
+}
 
 std::string FleetMetrics::text() const { return prometheus::TextSerializer().Serialize(m_impl->registry.Collect()); }
 
--- a/lib/Transport/HttpServer.cpp
+++ b/lib/Transport/HttpServer.cpp
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <cassert>
+#include <cerrno>
 #include <cstring>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -87,6 +88,16 @@
 
         bool isOpen() const override { return m_request; }
 
+        bool hasCallerLeft() const override
+        {
+            if (!m_request)
+                return true;
+            auto* socket = m_request->conn->callbacks->get_socket(m_request->conn);
+            char next = 0;
+            const auto received = ::recv(h2o_socket_get_fd(socket), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+            return received == 0 || (received < 0 && errno != EAGAIN && errno != EINTR);
+        }
+
         void onClosed(std::function<void()> callback) override { m_onClosed = std::move(callback); }
 
         void requestDisposed()
--- a/unittests/Entry/MetricsTest.cpp
+++ b/unittests/Entry/MetricsTest.cpp
@@ -49,6 +49,16 @@
         EXPECT_THAT(metrics.text(), HasSubstr("marigold_is_coordinator 0"));
     }
 
+    TEST(Metrics, CountsUnloggedDecisionsBySubject)
+    {
+        FleetMetrics metrics;
+        metrics.countUnloggedDecisions({ { "task", 7 }, { "cancelling", 1 } });
+        metrics.countUnloggedDecisions({ { "task", 3 } });
+        const auto text = metrics.text();
+        EXPECT_THAT(text, HasSubstr(R"(marigold_unlogged_decisions_total{subject="task"} 10)"));
+        EXPECT_THAT(text, HasSubstr(R"(marigold_unlogged_decisions_total{subject="cancelling"} 1)"));
+    }
+
     TEST(Metrics, CoordinatorLoadAddsUp)
     {
         FleetMetrics metrics;
