--- a/unittests/Entry/FleetModel.cpp
+++ b/unittests/Entry/FleetModel.cpp
@@ -30,8 +30,7 @@
         node->isPartitionedFromStore = false;
     }
     m_faults = { false, false, false, false };
-    m_calls.delaysSubmissions = false;
-    m_calls.delaysReplies = false;
+    m_calls.submission = m_calls.attempt = m_calls.reply = Duration(0);
 }
 
 std::vector<JobId> FleetModel::unfinished() const
--- a/unittests/Entry/FleetModel.h
+++ b/unittests/Entry/FleetModel.h
@@ -38,8 +38,10 @@
     // Calls pass through entry instances, which try them again. Calls and replies are on their way for some time, and
     // some submissions arrive twice. Otherwise calls and replies arrive at once.
     bool travel { false };
-    bool delaysSubmissions { true }; // some are on their way for longer than a change of coordinator
-    bool delaysReplies { true };
+    // The longest times on the way; a change of coordinator takes about two seconds.
+    Duration submission { 5500 }; // from a client to its entry instance
+    Duration attempt { 0 }; // of a submission, from an entry instance to a coordinator
+    Duration reply { 5500 }; // each of the way to the entry instance and the way to the client
 };
 
 class FleetModel {
@@ -122,6 +124,7 @@
     static constexpr Duration s_callRetry { 40 };
     static constexpr int s_maxSends = 3; // of one submission by its client, while it has no answer
     static constexpr Duration s_lookPeriod { 500 };
+    static constexpr Duration s_shortestLongDelay { 500 };
 
     struct ModelRun {
         RunNumber number {};
@@ -240,7 +243,7 @@
     void arrive(const NodePtr& node, const std::function<void()>& action);
 
     JobSpec drawJob();
-    Duration drawDelay(bool mayBeLong);
+    Duration drawDelay(Duration longest);
     void sendCall(FleetCallRequest::Kind kind, const JobSpec& job);
     void giveUp(const CallPtr& call);
     void receive(const CallPtr& call, const Reply& reply);
--- a/unittests/Entry/FleetModelCalls.cpp
+++ b/unittests/Entry/FleetModelCalls.cpp
@@ -25,7 +25,7 @@
         spec.steps.push_back(stepSpec);
     }
     // A slow reply may arrive before such a job is due.
-    const std::size_t latestDueMs = m_calls.travel ? 6000 : 2000;
+    const std::size_t latestDueMs = m_calls.travel ? 12000 : 2000;
     if (m_jobs == ModelJobs::SomeTimed && m_choices.below(2))
         spec.schedule
             = { 2, wallMs() + static_cast<std::int64_t>(m_choices.below(latestDueMs)), s_occurrenceInterval.count() };
@@ -93,10 +93,12 @@
     sendCall(FleetCallRequest::Kind::Cancel, spec);
 }
 
-Duration FleetModel::drawDelay(bool mayBeLong)
+Duration FleetModel::drawDelay(Duration longest)
 {
-    if (mayBeLong && m_choices.below(6) == 1)
-        return Duration(500 + static_cast<std::int64_t>(m_choices.below(5000)));
+    if (longest > s_shortestLongDelay && m_choices.below(4) == 1)
+        return s_shortestLongDelay
+            + Duration(static_cast<std::int64_t>(
+                m_choices.below(static_cast<std::size_t>((longest - s_shortestLongDelay).count()))));
     return step * static_cast<std::int64_t>(1 + m_choices.below(3));
 }
 
@@ -118,7 +120,7 @@
     } else {
         m_cancelSent.insert(job.id);
     }
-    const auto delay = drawDelay(m_calls.delaysSubmissions && isSubmission);
+    const auto delay = drawDelay(isSubmission ? m_calls.submission : Duration(0));
     addTrace(std::string("a client ") + (isSubmission ? "submits " : "cancels ") + job.id.value() + " through entry "
         + std::to_string(call->entry) + ", which reads it after " + std::to_string(delay.count()) + " ms");
     post(delay, [this, call] {
@@ -224,6 +226,9 @@
         post(s_callRetry, [this, call] { atEntry(call->entry, [this, call] { attemptCall(call); }); });
         return;
     }
+    addTrace("entry " + std::to_string(call->entry) + " passes the "
+        + (call->request.kind == FleetCallRequest::Kind::Submit ? "submission of " : "cancelling of ")
+        + call->request.job.id.value() + " to term " + std::to_string(node->term.number));
     call->isInFlight = true;
     call->attempt = CallToken(m_nextToken++);
     call->request.wait = std::min(std::chrono::duration_cast<Duration>(call->latest - m_now), s_peerTimeout);
@@ -234,7 +239,7 @@
         serve();
         return;
     }
-    post(drawDelay(m_calls.delaysSubmissions && call->request.kind == FleetCallRequest::Kind::Submit), serve);
+    post(drawDelay(call->request.kind == FleetCallRequest::Kind::Submit ? m_calls.attempt : Duration(0)), serve);
     post(s_peerTimeout, [this, call, token = call->attempt] { handleAttemptResult(call, token, {}, true); });
 }
 
@@ -283,7 +288,7 @@
         if (node->isPaused)
             post(step, [self] { self(self); });
         else
-            post(drawDelay(m_calls.delaysReplies && node->home != call->entry),
+            post(drawDelay(node->home == call->entry ? Duration(0) : m_calls.reply),
                 [=, this] { handleAttemptResult(call, token, reply, mayHaveTakenEffect); });
     };
     post(step, [leave] { leave(leave); });
@@ -335,7 +340,7 @@
 {
     call->isFinished = true;
     if (reply)
-        post(drawDelay(m_calls.delaysReplies), [this, call, reply] { receive(call, *reply); });
+        post(drawDelay(m_calls.reply), [this, call, reply] { receive(call, *reply); });
 }
 
 void FleetModel::checkLooks()
--- a/unittests/Entry/FleetModelTest.cpp
+++ b/unittests/Entry/FleetModelTest.cpp
@@ -47,8 +47,9 @@
         // Ensures that the runs were not vacuous.
         EXPECT_GT(accepted, 20u * seedsPerCase);
         EXPECT_GT(terms, 2u * seedsPerCase);
-        if (calls.travel)
+        if (calls.travel) {
             EXPECT_GT(unansweredCancelled, 2u * seedsPerCase);
+        }
     }
 
 } // namespace
@@ -84,7 +85,14 @@
 // the job before the answer reaches the client. Such a job has to start late to break the rule.
 TEST_P(FleetCallsTest, KeepsTheRulesWhileRepliesAreOnTheirWay)
 {
-    runSeeds(GetParam(), ModelJobs::SomeTimed, {}, { .travel = true, .delaysSubmissions = false });
+    runSeeds(GetParam(), ModelJobs::SomeTimed, {}, { .travel = true, .submission = Duration(1500) });
+}
+
+// Guards against REFUSED violations: an entry instance tries a submission again while its first attempt is still on its
+// way, the second attempt is refused, and the first is then accepted.
+TEST_P(FleetCallsTest, KeepsTheRulesWhileAttemptsAreOnTheirWay)
+{
+    runSeeds(GetParam(), ModelJobs::AtOnce, {}, { .travel = true, .attempt = Duration(5500) });
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, FleetCallsTest, ::testing::Range<std::uint32_t>(0, 4));
