--- a/test/NodeCluster.cpp
+++ b/test/NodeCluster.cpp
@@ -71,7 +71,8 @@
 
 void Caller::send(const std::string& method, const std::string& path, const std::string& body)
 {
-    standin::record.line("client sends %s %s to %s", method.c_str(), path.c_str(), m_name.c_str());
+    m_request = method + " " + path;
+    standin::record.line("client sends %s to %s", m_request.c_str(), m_name.c_str());
     if (m_descriptor < 0) {
         m_descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const auto address = standin::loopback(m_port, standin::nodeAddress());
@@ -99,7 +100,8 @@
     } else {
         close();
     }
-    standin::record.line("client gets %d %s from %s", response.status, response.body.c_str(), m_name.c_str());
+    standin::record.line(
+        "client gets %d %s for %s from %s", response.status, response.body.c_str(), m_request.c_str(), m_name.c_str());
     return response;
 }
 
@@ -117,14 +119,16 @@
     m_buffer.clear();
 }
 
-NodeCluster::NodeCluster(std::size_t nodes)
+NodeCluster::NodeCluster(std::size_t nodes, std::size_t workersPerZone)
     : m_folder(newFolder())
 {
     std::signal(SIGPIPE, SIG_IGN);
     standin::record.open(m_folder + "/record.txt");
     m_world = new standin::World(MARIGOLD_NODE_PROGRAM, m_folder, nodes);
-    for (const char* zone : { "zone-a", "zone-b", "zone-c" })
-        m_world->addWorker(std::string("i-") + zone, "press", zone, 64);
+    for (const std::string zone : { "zone-a", "zone-b", "zone-c" }) {
+        for (std::size_t worker = 1; worker <= workersPerZone; ++worker)
+            m_world->addWorker("i-" + zone + "-" + std::to_string(worker), "press", zone, 64);
+    }
     for (std::size_t i = 0; i < nodes; ++i)
         m_world->nodes[i].zone = std::string("zone-") + static_cast<char>('a' + i % 3);
     m_world->store.put("op/config", configuration());
@@ -206,6 +210,19 @@
     return found;
 }
 
+std::string NodeCluster::recordOf(const std::string& job) const
+{
+    std::string lines;
+    std::ifstream input(m_folder + "/record.txt");
+    for (std::string line; std::getline(input, line);) {
+        const auto contains = [&line](const std::string& word) { return line.find(word) != std::string::npos; };
+        if (contains(job) || contains("DISRUPTION") || contains("goes on") || contains("process ")
+            || contains("coordinator: "))
+            lines += line + '\n';
+    }
+    return lines;
+}
+
 std::string twoStepJob(Milliseconds first, Milliseconds second)
 {
     const auto step = [](Milliseconds time) {
--- a/test/NodeCluster.h
+++ b/test/NodeCluster.h
@@ -51,14 +51,15 @@
     std::string m_name;
     int m_port;
     std::string m_key;
+    std::string m_request; // the last one, for the record
     int m_descriptor { -1 };
     std::string m_buffer;
 };
 
-// Three zones with a worker each. The destructor kills the processes, and prints the end of a failed test's record.
+// Three zones of workers. The destructor kills the processes, and prints the end of a failed test's record.
 class NodeCluster {
 public:
-    explicit NodeCluster(std::size_t nodes = 3);
+    explicit NodeCluster(std::size_t nodes = 3, std::size_t workersPerZone = 1);
     ~NodeCluster();
     NodeCluster(const NodeCluster&) = delete;
     NodeCluster& operator=(const NodeCluster&) = delete;
@@ -79,6 +80,9 @@
     // All starts of the job's tasks that workers have seen.
     std::vector<standin::Run> runs(const std::string& job) const;
 
+    // The lines of the record on this job, on disruptions and on processes.
+    std::string recordOf(const std::string& job) const;
+
     standin::World& world() { return *m_world; }
     static Milliseconds now() { return Milliseconds(standin::record.now()); }
 
