Tests: a submission at a frozen coordinator whose successor has acknowledged the cancelling

Found by the soak. The coordinator is frozen with the submission in its socket, a client cancels the job at another instance, the successor answers 410, and the former coordinator passes the submission on to it.

--- a/test/CancellingTest.cpp
+++ b/test/CancellingTest.cpp
@@ -31,9 +31,14 @@
     // A submission that waits in the socket of a frozen instance, and the cancelling that overtakes it.
     class OvertakenSubmission {
     public:
-        OvertakenSubmission()
+        enum class Entry {
+            Other,
+            Coordinator,
+        };
+
+        explicit OvertakenSubmission(Entry entry = Entry::Other)
             : m_coordinator(m_cluster.awaitCoordinator())
-            , m_frozen(m_cluster.after(m_coordinator))
+            , m_frozen(entry == Entry::Coordinator ? m_coordinator : m_cluster.after(m_coordinator))
             , m_other(m_cluster.after(m_coordinator, 2))
             , m_submitter(m_cluster.node(m_frozen), "key-1")
         {
@@ -124,6 +129,18 @@
     scene.expectNothingStarts();
 }
 
+// Fails if a coordinator that was replaced while it was frozen passes a cancelled submission on to its successor.
+TEST(Cancelling, OvertakenSubmissionAtAFrozenCoordinatorNeverStarts)
+{
+    OvertakenSubmission scene(OvertakenSubmission::Entry::Coordinator);
+    scene.freezeEntry();
+    scene.submit();
+    ASSERT_EQ(scene.submitter().receive(s_clientPatience).status, 0);
+    scene.cancel();
+    scene.thawEntry();
+    scene.expectNothingStarts();
+}
+
 // Fails if what a cancelling leaves behind is lost with the coordinator that acknowledged it.
 TEST(Cancelling, OvertakenSubmissionNeverStartsAtASuccessor)
 {
