Keep a cancelled id whose submission has not arrived

What callers saw: a client submits a job through an instance that is frozen, gives up, and cancels it at another instance, which answers 410 at once.

Cause: the answer that a job does not exist binds the future, as the caller relies on it, and nothing was kept that binds it. The coordinator was rightly certain that nobody knew the job and still wrong to deny it. The same class: a denial that leaves a frozen coordinator after its successor has accepted the job.

Change: a cancelling of an unknown id is stored under marigold/cancelled/ID before it is acknowledged. While the id is kept (the retention of the status of jobs, from the storing), a submission of it is answered 429 without Retry-After: it was not accepted and never runs. A look still answers 410, as nobody submitted the job. A successor restores the ids.

Ruled out: dropping calls of callers that have gone, or that are late (their age is not known: it was 0 ms after a freeze of 1.5 s), which narrows the window only; a mark in memory, which is lost with its coordinator.

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -6,6 +6,7 @@
 // held by the workers.
 #pragma once
 
+#include "marigoldlink/Coordination/CancelledIds.h"
 #include "marigoldlink/Coordination/JobTable.h"
 #include "marigoldlink/Coordination/MaintenancePlanner.h"
 #include "marigoldlink/Coordination/Placement.h"
@@ -69,6 +70,8 @@
     void restoreJob(JobSpec, const JobProgress&, TimePoint now);
     // To be called for all queues before any job is restored.
     void restoreQueue(const QueueId&, const QueueRecord&);
+    // An id that a predecessor stored as cancelled, with the team that had cancelled it.
+    void restoreCancelledId(const JobId&, const TeamId&, TimePoint now);
     void restoreWave(const WaveId&, std::set<std::string> finished);
     // onlyRuns: as in WorkerRecord.
     void restoreWorker(const WorkerEntry&, std::optional<std::set<TaskKey>> onlyRuns, TimePoint now);
@@ -82,10 +85,12 @@
     void instancesListed(std::vector<FleetInstance>, TimePoint now);
 
     // Callers' calls.
+    // Replies AlreadyCancelled if the job was cancelled before it arrived.
     // Replies Refused if the job's record cannot be stored within the given time, in which the caller needs the reply.
     // nullopt: no limit by the caller.
     void submit(CallToken, JobSpec, TimePoint now, std::optional<Duration> wait = std::nullopt, const CallOrigin& = {});
-    // Replies UnknownJob only while no other coordinator can have accepted the job, else NotCoordinator.
+    // Replies UnknownJob once the id of a job that no coordinator has accepted is stored as cancelled, so that a
+    // submission of it that arrives later is not accepted. Replies NotCancelled if the team has too many such ids.
     void cancel(CallToken, const JobId&, TimePoint now, const CallOrigin& = {});
     Reply jobStatus(const JobId&) const;
     Reply waiting(const QueueId&) const;
@@ -124,6 +129,10 @@
         Reply reply;
         TimePoint since;
     };
+    struct CancelCall {
+        CallToken token {};
+        TimePoint since;
+    };
     struct RecordVersion {
         JobId job;
         std::uint64_t version { 0 };
@@ -151,7 +160,15 @@
     // Whether a predecessor may have started tasks of the job on one of the services.
     bool mayHaveRunsOn(const Job&, const std::set<ServiceId>&) const;
 
+    // Cancelling of ids whose submission has not arrived.
+    void cancelUnknown(CallToken, const JobId&, TimePoint now, const CallOrigin&);
+    void flushCancelledIds();
+    void cancelledIdStored(const JobId&, TimePoint now);
+    void removeExpiredIds(TimePoint now);
+
     // Jobs and journal.
+    // Schedules a flush for a record that a caller waits for.
+    void scheduleFlush(TimePoint now);
     void flushJobs(TimePoint now);
     void sendJournal(TimePoint now);
     void batchStored(const JournalBatch&, TimePoint now);
@@ -267,6 +284,8 @@
     // Number of tasks of a step for which isAtFullCapacity() is false.
     int unavailableTasks(const Occurrence&, int step, TimePoint now) const;
 
+    // Retry-after of calls that wait for the store; its outages last seconds.
+    static constexpr Duration s_storeRetryAfter { 1000 };
     static constexpr Duration s_planInterval { 100 }; // of the sizes of pools and of waves
 
     CoordinatorSettings m_settings;
@@ -281,6 +300,9 @@
     TeamUsageTotals m_use;
     AdviceCache m_advice { {} };
     std::map<JobId, std::vector<PendingReply>> m_replies;
+    CancelledIds m_cancelledIds;
+    // Calls that wait for a cancelled id to be stored. Invariant: each of the ids is in m_cancelledIds and not stored.
+    std::map<JobId, std::vector<CancelCall>> m_cancelCalls;
     std::map<std::string, RecordVersion> m_queuedVersions; // by record key
     std::map<std::string, RecordVersion> m_batchVersions; // records of the batch in flight, by key
     TimePoint m_batchSentAt;
@@ -380,11 +402,13 @@
 namespace records {
     inline const std::string jobPrefix = "marigold/job/";
     inline const std::string progressPrefix = "marigold/progress/";
+    inline const std::string cancelledIdPrefix = "marigold/cancelled/";
     inline const std::string queuePrefix = "marigold/queue/";
     inline const std::string wavePrefix = "marigold/wave/";
     inline const std::string workerPrefix = "marigold/worker/";
     inline std::string job(const JobId& id) { return jobPrefix + id.value(); }
     inline std::string progress(const JobId& id) { return progressPrefix + id.value(); }
+    inline std::string cancelledId(const JobId& id) { return cancelledIdPrefix + id.value(); }
     inline std::string worker(const WorkerId& id) { return workerPrefix + id.value(); }
     inline std::string queue(const QueueId& id) { return queuePrefix + id.value(); }
     inline std::string wave(const WaveId& id) { return wavePrefix + id.value(); }
--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -128,8 +128,8 @@
     // Reads the records of all kinds, one kind after the other.
     void loadFrom(std::size_t kind)
     {
-        static const std::array prefixes { &records::jobPrefix, &records::progressPrefix, &records::queuePrefix,
-            &records::wavePrefix, &records::workerPrefix };
+        static const std::array prefixes { &records::jobPrefix, &records::progressPrefix, &records::cancelledIdPrefix,
+            &records::queuePrefix, &records::wavePrefix, &records::workerPrefix };
         if (kind == prefixes.size()) {
             loaded();
             return;
@@ -170,6 +170,9 @@
             const JobId id(name);
             m_coordinator.restoreJob(decodeJob(id, record), progressOf[id], now);
         });
+        forEachStored(records::cancelledIdPrefix, [&](const std::string& name, const std::string& record) {
+            m_coordinator.restoreCancelledId(JobId(name), decodeCancelledId(record), now);
+        });
         forEachStored(records::wavePrefix, [&](const std::string& name, const std::string& record) {
             m_coordinator.restoreWave(WaveId(name), decodeWave(record));
         });
--- a/include/marigoldlink/Entry/Orders.h
+++ b/include/marigoldlink/Entry/Orders.h
@@ -97,6 +97,8 @@
         UnknownJob,
         Refused, // not stored, and never will be
         NotCoordinator, // the call had no effect; another instance is the coordinator
+        AlreadyCancelled, // not accepted: the job was cancelled before this submission of it arrived
+        NotCancelled, // an unknown id that cannot be kept as cancelled; a submission of it may still be accepted
     };
 
     Kind kind { Kind::NotCoordinator };
--- a/include/marigoldlink/Protocol/JobCodec.h
+++ b/include/marigoldlink/Protocol/JobCodec.h
@@ -1,4 +1,5 @@
-// JSON encoding of the records of jobs, job progress, queues, workers, entry instances and maintenance waves.
+// JSON encoding of the records of jobs, job progress, cancelled ids, queues, workers, entry instances and maintenance
+// waves.
 #pragma once
 
 #include "marigoldlink/Coordination/JobTable.h"
@@ -17,6 +18,11 @@
 std::string encodeProgress(const JobProgress&);
 JobProgress decodeProgress(const JobId&, const std::string& record);
 
+// Record of an id that was cancelled before its submission: the team that cancelled it. A record without a valid team
+// decodes to the empty one, since the key alone already keeps the id.
+std::string encodeCancelledId(const TeamId&);
+TeamId decodeCancelledId(const std::string& record);
+
 std::string encodeWave(const std::set<std::string>& finished);
 std::set<std::string> decodeWave(const std::string& record);
 
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -24,8 +24,6 @@
     constexpr Duration s_replyMargin { 50 };
     // Weight of the past in the moving average of the time of a write.
     constexpr int s_writeTimeWeight = 8;
-    // Retry-after sent with such a refusal; outages of the store last seconds.
-    constexpr Duration s_storeRetryAfter { 1000 };
     // How long an instance is kept free of new tasks before maintenance ends the tasks on it. Most short tasks end
     // within this time.
     constexpr Duration s_drainTimeout { 1500 };
@@ -93,6 +91,7 @@
     , m_journal(std::move(journal))
     , m_startedAt(now)
     , m_sinks(std::move(sinks))
+    , m_cancelledIds({ .retention = m_settings.statusRetention })
     , m_waves({ m_settings.maintenanceTime, s_drainTimeout })
     , m_nextTick(now)
 {
@@ -198,6 +197,15 @@
             m_replies[id].push_back({ token, 1, { Reply::Kind::Accepted, {}, 0, {} }, now });
         return;
     }
+    if (m_cancelledIds.contains(id)) {
+        // A successor may have let the id expire.
+        const bool isCertain = isLeaseValid(now);
+        logCall(
+            "submission", id, isCertain ? "refused: cancelled before" : "cancelled before, not certain", origin, now);
+        const auto kind = isCertain ? Reply::Kind::AlreadyCancelled : Reply::Kind::NotCoordinator;
+        m_orders.emplace_back(ReplyOrder { token, { kind, {}, 0, {} } });
+        return;
+    }
     const auto limit = wait ? std::min(s_submissionTimeout, *wait - s_replyMargin) : s_submissionTimeout;
     const auto expected = expectedStoreTime(now);
     if (expected > limit) {
@@ -221,40 +229,7 @@
         "submitted to " + job.spec.queue.value() + " by " + job.spec.team.value() + ": " + describeSteps(job.spec),
         origin, now);
     m_replies[id].push_back({ token, job.version, { Reply::Kind::Accepted, {}, 0, {} }, now });
-    m_nextFlush = std::min(m_nextFlush, now + s_submissionDelay);
-    m_nextTick = std::min(m_nextTick, now + s_submissionDelay);
-}
-
-void Coordinator::cancel(CallToken token, const JobId& id, TimePoint now, const CallOrigin& origin)
-{
-    auto* job = m_jobs.find(id);
-    if (!job) {
-        // A successor may have accepted the job, so a negative answer requires that there is none.
-        const bool isCertain = isLeaseValid(now);
-        // The entry instance repeats an uncertain call many times a second.
-        if (isCertain)
-            logCall("cancelling", id, "cancelling: unknown job", origin, now);
-        else
-            logCall("uncertain_cancelling", id, "cancelling: unknown job, not certain", origin, now);
-        const auto kind = isCertain ? Reply::Kind::UnknownJob : Reply::Kind::NotCoordinator;
-        m_orders.emplace_back(ReplyOrder { token, { kind, {}, 0, {} } });
-        return;
-    }
-    const auto before = progressText(*job);
-    const bool wasActive = m_jobs.cancel(id, now);
-    logCall("cancelling", id, (wasActive ? "cancelled, was " : "cancelling: has ended, ") + before, origin, now);
-    if (wasActive) {
-        measure(JobEnded { job->spec.team, job->queue.priority, job->state, now - job->acceptedAt });
-        stopRunsOf(*job, now);
-        m_advice.forget(id);
-        m_nextFlush = std::min(m_nextFlush, now + s_submissionDelay);
-        m_nextTick = std::min(m_nextTick, now + s_submissionDelay);
-    }
-    const Reply reply { Reply::Kind::Cancelled, job->state, 0, {} };
-    if (job->storedVersion >= job->version)
-        m_orders.emplace_back(ReplyOrder { token, reply });
-    else
-        m_replies[id].push_back({ token, job->version, reply, now });
+    scheduleFlush(now);
 }
 
 Reply Coordinator::jobStatus(const JobId& id) const
@@ -278,8 +253,15 @@
     return { Reply::Kind::Waiting, {}, count, {} };
 }
 
+void Coordinator::scheduleFlush(TimePoint now)
+{
+    m_nextFlush = std::min(m_nextFlush, now + s_submissionDelay);
+    m_nextTick = std::min(m_nextTick, now + s_submissionDelay);
+}
+
 void Coordinator::flushJobs(TimePoint now)
 {
+    flushCancelledIds();
     for (const auto& id : std::exchange(m_queuesToRecord, {}))
         m_journal.put(records::queue(id), encodeQueue({ m_queues.at(id).services, m_queues.at(id).settings }),
             RecordClass::Urgent);
@@ -391,6 +373,8 @@
         }
         if (key.starts_with(records::queuePrefix))
             queueStored(QueueId(key.substr(records::queuePrefix.size())), value);
+        if (key.starts_with(records::cancelledIdPrefix))
+            cancelledIdStored(JobId(key.substr(records::cancelledIdPrefix.size())), now);
         const auto recordVersion = versions.find(key);
         if (recordVersion == versions.end())
             continue;
@@ -484,6 +468,7 @@
         m_jobs.remove(id);
     }
     removeUnusedQueues(queues);
+    removeExpiredIds(now);
 }
 
 void Coordinator::resendStops(TimePoint now)
--- a/lib/Entry/PeerCalls.cpp
+++ b/lib/Entry/PeerCalls.cpp
@@ -74,7 +74,7 @@
     wire::FleetReply wireReply;
     if (!decodePeer(bytes, wireReply))
         throw Error(ErrorKind::MalformedRequest, "reply from a peer does not parse");
-    return { checkedEnum(wireReply.kind, Reply::Kind::NotCoordinator, "kind of a reply from a peer"),
+    return { checkedEnum(wireReply.kind, Reply::Kind::NotCancelled, "kind of a reply from a peer"),
         checkedEnum(wireReply.state, JobState::Cancelled, "job state of a reply from a peer"), wireReply.waiting,
         Duration(wireReply.retryAfterMs) };
 }
--- a/lib/Protocol/JobCodec.cpp
+++ b/lib/Protocol/JobCodec.cpp
@@ -150,6 +150,15 @@
     });
 }
 
+std::string encodeCancelledId(const TeamId& team) { return Json { { "team", team.value() } }.dump(); }
+
+TeamId decodeCancelledId(const std::string& record)
+{
+    const auto json = Json::parse(record, nullptr, false);
+    const auto team = json.is_object() ? json.find("team") : json.end();
+    return team != json.end() && team->is_string() ? TeamId(team->get<std::string>()) : TeamId();
+}
+
 std::string encodeWave(const std::set<std::string>& finished) { return Json { { "finished", finished } }.dump(); }
 
 std::set<std::string> decodeWave(const std::string& record)
--- a/unittests/Entry/CoordinatorHarness.h
+++ b/unittests/Entry/CoordinatorHarness.h
@@ -199,6 +199,9 @@
                 const auto progress = stored.find(records::progress(id));
                 coordinator.restoreJob(decodeJob(id, value),
                     progress == stored.end() ? JobProgress {} : decodeProgress(id, progress->second), now);
+            } else if (key.starts_with(records::cancelledIdPrefix)) {
+                const JobId id(key.substr(records::cancelledIdPrefix.size()));
+                coordinator.restoreCancelledId(id, decodeCancelledId(value), now);
             } else if (key.starts_with(records::workerPrefix)) {
                 const auto record = decodeWorker(WorkerId(key.substr(records::workerPrefix.size())), value);
                 coordinator.restoreWorker(record.entry, record.onlyRuns, now);
--- a/unittests/Entry/FleetModel.cpp
+++ b/unittests/Entry/FleetModel.cpp
@@ -181,6 +181,8 @@
             const auto progress = m_records.find(records::progress(id));
             node.coordinator->restoreJob(decodeJob(id, value),
                 progress == m_records.end() ? JobProgress {} : decodeProgress(id, progress->second), m_now);
+        } else if (const auto cancelled = idAfter(records::cancelledIdPrefix)) {
+            node.coordinator->restoreCancelledId(JobId(*cancelled), decodeCancelledId(value), m_now);
         } else if (const auto worker = idAfter(records::workerPrefix)) {
             const auto record = decodeWorker(WorkerId(*worker), value);
             node.coordinator->restoreWorker(record.entry, record.onlyRuns, m_now);
--- a/unittests/Entry/FleetModelCalls.cpp
+++ b/unittests/Entry/FleetModelCalls.cpp
@@ -181,7 +181,7 @@
         if (m_choices.below(8) == 1)
             post(Duration(500 + static_cast<std::int64_t>(m_choices.below(4000))),
                 [this, spec] { sendCall(FleetCallRequest::Kind::Submit, spec); });
-    } else if (reply.kind == Reply::Kind::Refused) {
+    } else if (reply.kind == Reply::Kind::Refused || reply.kind == Reply::Kind::AlreadyCancelled) {
         addTrace("a client reads that " + spec.id.value() + " is refused");
         if (--m_openSubmissions.at(spec.id) > 0)
             return;
--- a/unittests/Entry/RunnerTest.cpp
+++ b/unittests/Entry/RunnerTest.cpp
@@ -19,8 +19,8 @@
             operators.config.queues.emplace(queue.id, queue);
             m_runner->setLeaseValidUntil(TimePoint::max());
             m_runner->start(operators);
-            for (const auto& prefix : { records::jobPrefix, records::progressPrefix, records::queuePrefix,
-                     records::wavePrefix, records::workerPrefix })
+            for (const auto& prefix : { records::jobPrefix, records::progressPrefix, records::cancelledIdPrefix,
+                     records::queuePrefix, records::wavePrefix, records::workerPrefix })
                 m_platform.answer(std::string(prefix), StoreStatus::Ok, Revision(1));
             m_platform.answer(m_platform.workerPrefix(), StoreStatus::Ok, Revision(1));
             m_loop.runUntil([this] { return m_runner->isReady(); });
--- a/unittests/Entry/SubmissionsTest.cpp
+++ b/unittests/Entry/SubmissionsTest.cpp
@@ -59,6 +59,7 @@
         fleet.begin({ "w1" });
         fleet.coordinator.setLeaseValidUntil(fleet.now + Duration(1000));
         fleet.coordinator.cancel(CallToken(1), JobId("a"), fleet.now);
+        fleet.settle();
         fleet.run(Duration(1100));
         fleet.coordinator.cancel(CallToken(2), JobId("a"), fleet.now);
         fleet.run(Duration(5));
