Do not store the progress of a job before its record

What callers saw: nothing reported that can be told apart from the fault before. Found by reading and by the fleet model's author: a cancelling answered 200 is lost in a change of coordinator. Behind a backlog of submissions, or of workers' records after a takeover, the progress "cancelled" was stored batches before the job itself. Both the submission and the cancelling were acknowledged then, and a successor ignores progress without a job: it accepts and starts a copy of the submission that arrives later (UNASKED). Without a change of coordinator, the job's record, stored later, set the shown state back to pending for good.

Change: progress of a job whose record is not stored is queued behind that record in the same class. A version older than the stored one does not change the shown state.

--- a/lib/Coordination/JobTable.cpp
+++ b/lib/Coordination/JobTable.cpp
@@ -398,9 +398,9 @@
 void JobTable::markStored(const JobId& id, std::uint64_t version, JobState state)
 {
     auto* job = find(id);
-    if (!job)
+    if (!job || version < job->storedVersion)
         return;
-    job->storedVersion = std::max(job->storedVersion, version);
+    job->storedVersion = version;
     job->storedState = state;
 }
 
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -278,7 +278,9 @@
         if (!job)
             continue;
         const auto key = records::progress(id);
-        m_journal.put(key, encodeProgress(m_jobs.progress(*job)), RecordClass::Progress);
+        // A successor ignores the progress of a job without a record, so it must not be stored before that record.
+        const auto recordClass = job->storedVersion ? RecordClass::Progress : RecordClass::Urgent;
+        m_journal.put(key, encodeProgress(m_jobs.progress(*job)), recordClass);
         m_queuedVersions[key] = { id, job->version, job->state };
     }
     for (const auto& id : std::exchange(m_workersToRecord, {})) {
