Do not pass on a refusal while an earlier attempt may take effect

Cause: handleAttemptResult took the last reply for the outcome of the call.

Change: a refusal of a submission is an outcome only if no earlier attempt may have taken effect. Otherwise the caller is told that the outcome is unknown (504), upon which it sends the same id again.

--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -368,7 +368,9 @@
         found->second.isInFlight = false;
         found->second.mayHaveTakenEffect |= mayHaveTakenEffect;
         if (reply.kind != Reply::Kind::NotCoordinator) {
-            finish(id, { CallResult::Kind::Answered, reply });
+            const auto& pending = found->second;
+            const bool isOutcome = isConclusive(pending.request.kind, reply, pending.mayHaveTakenEffect);
+            finish(id, { isOutcome ? CallResult::Kind::Answered : CallResult::Kind::Unknown, reply });
             return;
         }
         queryPeers();
--- a/include/marigoldlink/Entry/PeerCalls.h
+++ b/include/marigoldlink/Entry/PeerCalls.h
@@ -17,6 +17,10 @@
     CallOrigin origin {};
 };
 
+// Whether the reply tells the outcome of a call of which an earlier attempt may have taken effect, or may still do so.
+// A refusal of a submission does not, since the earlier attempt may be accepted.
+bool isConclusive(FleetCallRequest::Kind, const Reply&, bool mayHaveTakenEffect);
+
 std::string encodeCall(const FleetCallRequest&);
 // Throws Error(MalformedRequest).
 FleetCallRequest decodeCall(const std::string& bytes);
--- a/lib/Entry/PeerCalls.cpp
+++ b/lib/Entry/PeerCalls.cpp
@@ -20,6 +20,12 @@
 
 } // namespace
 
+bool isConclusive(FleetCallRequest::Kind kind, const Reply& reply, bool mayHaveTakenEffect)
+{
+    const bool isRefusedSubmission = kind == FleetCallRequest::Kind::Submit && reply.kind == Reply::Kind::Refused;
+    return !isRefusedSubmission || !mayHaveTakenEffect;
+}
+
 std::string encodeCall(const FleetCallRequest& request)
 {
     wire::FleetCall call;
--- a/unittests/Entry/FleetModelCalls.cpp
+++ b/unittests/Entry/FleetModelCalls.cpp
@@ -314,7 +314,8 @@
         call->isInFlight = false;
         call->mayHaveTakenEffect |= mayHaveTakenEffect;
         if (reply.kind != Reply::Kind::NotCoordinator) {
-            finish(call, reply);
+            const bool isOutcome = isConclusive(call->request.kind, reply, call->mayHaveTakenEffect);
+            finish(call, isOutcome ? std::optional(reply) : std::nullopt);
             return;
         }
         post(s_callRetry, [this, call] { atEntry(call->entry, [this, call] { attemptCall(call); }); });
--- a/unittests/Entry/SubmissionsTest.cpp
+++ b/unittests/Entry/SubmissionsTest.cpp
@@ -132,6 +132,20 @@
         EXPECT_EQ(fleet.replies.back().reply.kind, Reply::Kind::Refused);
     }
 
+    // Guards against jobs that run although their submission was refused: an attempt without an answer was still on its
+    // way when the next one was refused, and it was accepted afterwards.
+    TEST(Submissions, ARefusalTellsNothingOfAnEarlierAttemptWithoutAnAnswer)
+    {
+        using enum FleetCallRequest::Kind;
+        const Reply refused { Reply::Kind::Refused, {}, 0, Duration(1000) };
+        EXPECT_TRUE(isConclusive(Submit, refused, false));
+        EXPECT_FALSE(isConclusive(Submit, refused, true));
+        for (const auto kind : { Reply::Kind::Accepted, Reply::Kind::AlreadyCancelled })
+            EXPECT_TRUE(isConclusive(Submit, { kind, {}, 0, {} }, true));
+        for (const auto kind : { Reply::Kind::Cancelled, Reply::Kind::UnknownJob, Reply::Kind::NotCancelled })
+            EXPECT_TRUE(isConclusive(Cancel, { kind, {}, 0, {} }, true));
+    }
+
     TEST(Submissions, TheTimeOfTheSenderIsPartOfTheCall)
     {
         FleetCallRequest request { FleetCallRequest::Kind::Submit, CoordinatorHarness::job("a"), Duration(150) };
