Dispatcher: a cancelled request is not started again

Callers saw 200 with "found": true for cancelling an idempotent request whose task ran, and the task was stopped and started again, up to eight times. The same happened to a request whose worker was lost: it was started at another worker after the acknowledgement.

Cause: cancel() told the worker to stop and left no mark on the request. The answer "stopped" was handled like a lost task, and retryOrFail() put the request back into its queue. In the phase Resolving cancel() did nothing at all. A start that the worker refused (full, lease expired, stopped before it arrived) was queued again too, for requests of any kind.

The request is marked now, and requeue() and the return of a forwarded request end a marked request. Every way back into the queue goes through these two. It ends with "cancelled" only if no task may have run.

The way back from a peer and refused starts have no test of their own.

--- a/tools/marigold-entry/Dispatcher.cpp
+++ b/tools/marigold-entry/Dispatcher.cpp
@@ -394,7 +394,7 @@
 void Dispatcher::requeue(QueueTicket ticket)
 {
     auto& job = m_jobs.at(number(ticket));
-    if (!job.onDone || m_loop.now() >= job.request.deadline) {
+    if (!job.onDone || job.isCancelled || m_loop.now() >= job.request.deadline) {
         finish(ticket, { terminalError(job), {} });
         return;
     }
@@ -412,9 +412,11 @@
         auto& job = m_jobs.at(number(ticket));
         job.mayHaveRun |= !outcome.isNotRun();
         const bool mayTryAgain = outcome.isNotRun() || (job.request.isIdempotent && outcome.error);
-        if (mayTryAgain && m_loop.now() < job.request.deadline && job.onDone) {
+        if (mayTryAgain && m_loop.now() < job.request.deadline && job.onDone && !job.isCancelled) {
             job.phase = Job::Phase::Queued;
             m_queues.at(job.request.pool).pushFront(ticket, job.request.team, job.request.urgency);
+        } else if (job.isCancelled && outcome.isNotRun()) {
+            finish(ticket, { terminalError(job), {} });
         } else {
             finish(ticket, std::move(outcome));
         }
@@ -457,6 +459,7 @@
     if (found == m_jobs.end())
         return;
     auto& job = found->second;
+    job.isCancelled = true;
     if (job.phase == Job::Phase::Queued) {
         finishQueued(ticket, ErrorKind::Cancelled);
     } else if (job.phase == Job::Phase::Running) {
--- a/tools/marigold-entry/Dispatcher.h
+++ b/tools/marigold-entry/Dispatcher.h
@@ -43,7 +43,8 @@
     // Queues the request and passes its outcome to the callback. Returns the ticket, or nothing when the queue is full.
     std::optional<QueueTicket> submit(JobRequest, std::function<void(JobOutcome)>);
 
-    // Cancels a request: a queued request is answered with "cancelled", a running task is stopped.
+    // Cancels a request, which is not started again: a queued request is answered with "cancelled", a running task is
+    // stopped.
     void cancel(QueueTicket);
 
     // Starts or forwards queued requests as far as slots and escrow allow, and preempts deferrable tasks for urgent
--- a/tools/marigold-entry/Job.h
+++ b/tools/marigold-entry/Job.h
@@ -46,6 +46,8 @@
     // Set once any start may have run, even partially. From then on the request must not be answered with "not run".
     bool mayHaveRun { false };
     bool isCheckpointRequested { false };
+    // Set once the request was cancelled. From then on it must not be started again.
+    bool isCancelled { false };
     // State of the current start:
     TaskId task;
     WorkerLinkPtr link;
@@ -58,7 +60,9 @@
 {
     if (job.failures > 0)
         return ErrorKind::TaskFailed;
-    return job.mayHaveRun ? ErrorKind::WorkerLost : ErrorKind::DeadlinePassed;
+    if (job.mayHaveRun)
+        return ErrorKind::WorkerLost;
+    return job.isCancelled ? ErrorKind::Cancelled : ErrorKind::DeadlinePassed;
 }
 
 } // namespace marigoldlink
