CallerApi: cancelling reaches every open call with the id

Callers saw 404 with "found": false for cancelling a request that they had submitted, and the request ran afterwards. Of two calls with the same id, only the later one was cancelled, and the answer to either made the id unknown.

Cause: the table for cancelling held one queue ticket an id, and the ticket exists only once the call has claimed its id. A claim takes as long as its owner needs to answer, and is tried again while the owner cannot be reached.

The table holds every unanswered call with an id now. A cancelled call that still claims is answered with "cancelled" when the claim is granted or would be tried again, and releases the claim; it is not queued. A call that waits for an attempt at another instance is answered with 404 as before, since that attempt is not cancelled here.

The 404 for a call that waits for another instance has no test.

--- a/test/CancelTest.cpp
+++ b/test/CancelTest.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <csignal>
 #include <gtest/gtest.h>
+#include <map>
 
 namespace marigoldlink::testing {
 
@@ -121,4 +122,45 @@
     EXPECT_EQ(starts("a"), 0) << "tasks at the other worker";
 }
 
+// Cancelling an id that its call was still claiming was answered with 404, and the request ran afterwards.
+TEST_F(Cancel, ARequestThatClaimsItsIdIsNotStarted)
+{
+    auto options = smallCluster();
+    options.entriesPerDataCenter = 2;
+    start(options);
+    // Each instance owns about half of the ids. Those of a frozen owner stay claimed.
+    m_cluster->entries[1].process.signal(SIGSTOP);
+    std::map<std::string, std::shared_ptr<std::string>> outcomes;
+    for (int i = 0; i < 16; ++i) {
+        const auto id = "id-" + std::to_string(i);
+        outcomes[id] = submit(id, false, Duration(1));
+    }
+    m_cluster->runFor(Duration(400));
+    std::erase_if(outcomes, [](const auto& item) { return !item.second->empty(); });
+    ASSERT_FALSE(outcomes.empty());
+    for (const auto& [id, outcome] : outcomes)
+        EXPECT_EQ(cancel(id), 200);
+    m_cluster->entries[1].process.signal(SIGCONT);
+    for (const auto& [id, outcome] : outcomes) {
+        waitForOutcome(*outcome);
+        EXPECT_EQ(*outcome, "cancelled/not run");
+        EXPECT_EQ(starts(id), 0);
+    }
+}
+
+// Of two calls with the same id, only the later one was cancelled.
+TEST_F(Cancel, EveryCallWithTheIdIsCancelled)
+{
+    start(smallCluster());
+    const auto first = submit("a", true);
+    const auto second = submit("a", true);
+    m_cluster->waitUntil("both tasks run", [&] { return starts("a") == 2; });
+    EXPECT_EQ(cancel("a"), 200);
+    waitForOutcome(*first);
+    waitForOutcome(*second);
+    EXPECT_EQ(*first, "worker-lost/unknown");
+    EXPECT_EQ(*second, "worker-lost/unknown");
+    EXPECT_EQ(starts("a"), 2);
+}
+
 } // namespace marigoldlink::testing
--- a/tools/marigold-entry/CallerApi.cpp
+++ b/tools/marigold-entry/CallerApi.cpp
@@ -3,6 +3,7 @@
 
 #include "../common/Jitter.h"
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -131,6 +132,8 @@
     if (call->id.value().size() > s_maxRequestIdBytes)
         throw Error(ErrorKind::MalformedRequest, "header x-request-id is longer than 128 bytes");
     ++m_open;
+    if (!call->id.empty())
+        m_calls.emplace(CallKey(call->request.team, call->id), call);
     if (call->id.empty() || call->request.isIdempotent)
         submit(call);
     else
@@ -151,6 +154,7 @@
     using Verdict = ClaimAnswer::Verdict;
     const auto verdict = result.wasReached ? result.answer.verdict : Verdict::NotOwner;
     if (result.wasReached && verdict == Verdict::Granted) {
+        call->hasEarlierAttempt = false;
         submit(call);
         return;
     }
@@ -158,6 +162,7 @@
     m_attempts.end(call->claim->attempt, { ErrorKind::OwnerUnreachable, {} }, m_loop.now());
     m_peers.reportClaimEnd(*call->claim, true);
     if (verdict == Verdict::Taken) {
+        call->hasEarlierAttempt = true;
         const auto earlier = result.answer.claim;
         m_peers.fetchOutcome(earlier, [this, call, earlier](std::optional<AttemptOutcome> outcome) {
             handleEarlierOutcome(call, earlier, outcome);
@@ -171,6 +176,10 @@
 
 void CallerApi::retryClaim(const CallPtr& call, ErrorKind otherwise)
 {
+    if (call->isCancelled && !call->hasEarlierAttempt) {
+        answer(call, { ErrorKind::Cancelled, {} });
+        return;
+    }
     if (call->claimTries >= s_maxClaimTries || m_loop.now() >= call->request.deadline) {
         answer(call, { otherwise, {} });
         return;
@@ -207,21 +216,19 @@
 
 void CallerApi::submit(const CallPtr& call)
 {
-    const auto key = std::pair(call->request.team, call->id);
-    const auto ticket = m_dispatcher.submit(call->request, [this, call, key](JobOutcome outcome) {
-        if (!call->id.empty())
-            m_tickets.erase(key);
-        answer(call, outcome);
-    });
-    if (!ticket) {
+    if (call->isCancelled) {
+        answer(call, { ErrorKind::Cancelled, {} });
+        return;
+    }
+    call->ticket
+        = m_dispatcher.submit(call->request, [this, call](const JobOutcome& outcome) { answer(call, outcome); });
+    if (!call->ticket) {
         answer(call, { ErrorKind::QueueFull, {} });
         return;
     }
-    if (!call->id.empty())
-        m_tickets.insert_or_assign(key, *ticket);
     call->request.body.clear();
     if (call->responder->isOpen()) {
-        call->responder->onClosed([this, ticket = *ticket, isIdempotent = call->request.isIdempotent] {
+        call->responder->onClosed([this, ticket = *call->ticket, isIdempotent = call->request.isIdempotent] {
             // The caller has closed the connection, so the response of an idempotent request is not needed any more.
             if (isIdempotent)
                 m_dispatcher.cancel(ticket);
@@ -232,6 +239,7 @@
 void CallerApi::answer(const CallPtr& call, const JobOutcome& outcome)
 {
     --m_open;
+    unregister(call);
     if (call->claim) {
         m_attempts.end(call->claim->attempt, outcome, m_loop.now());
         m_peers.reportClaimEnd(*call->claim, outcome.isNotRun());
@@ -244,6 +252,14 @@
     call->responder->send({ 200, outcome.body, "application/json", { { "x-run-state", name(RunState::Ran) } } });
 }
 
+void CallerApi::unregister(const CallPtr& call)
+{
+    const auto [first, last] = m_calls.equal_range(CallKey(call->request.team, call->id));
+    const auto found = std::find_if(first, last, [&call](const auto& item) { return item.second == call; });
+    if (found != last)
+        m_calls.erase(found);
+}
+
 void CallerApi::refuse(HttpResponder& responder, ErrorKind kind, const std::string& message)
 {
     const auto& row = errorInfo(kind);
@@ -260,10 +276,18 @@
 void CallerApi::serveCancel(const HttpRequest& request, HttpResponder& responder)
 {
     const RequestId id(std::string(between(request.path, s_requestPrefix, s_cancelSuffix)));
-    const auto found = m_tickets.find({ authenticated(request), id });
-    const bool isFound = found != m_tickets.end();
-    if (isFound)
-        m_dispatcher.cancel(found->second);
+    const auto [first, last] = m_calls.equal_range(CallKey(authenticated(request), id));
+    // Cancelling a queued request answers its call, which removes it from m_calls.
+    std::vector<CallPtr> calls;
+    for (auto it = first; it != last; ++it)
+        calls.push_back(it->second);
+    bool isFound = false;
+    for (const auto& call : calls) {
+        isFound |= !call->hasEarlierAttempt;
+        call->isCancelled = true;
+        if (call->ticket)
+            m_dispatcher.cancel(*call->ticket);
+    }
     responder.send({ isFound ? 200 : 404, Json { { "found", isFound } }.dump(), "application/json", {} });
 }
 
--- a/tools/marigold-entry/CallerApi.h
+++ b/tools/marigold-entry/CallerApi.h
@@ -33,8 +33,14 @@
         RequestId id;
         std::optional<Claim> claim;
         int claimTries { 0 };
+        // True while an earlier attempt holds the id. This call does not run then.
+        bool hasEarlierAttempt { false };
+        // Set once the request was cancelled. From then on it must not be queued.
+        bool isCancelled { false };
+        std::optional<QueueTicket> ticket;
     };
     using CallPtr = std::shared_ptr<Call>;
+    using CallKey = std::pair<TeamId, RequestId>;
 
     JobRequest validateRequest(const HttpRequest&) const;
     TeamId authenticated(const HttpRequest&) const;
@@ -46,6 +52,7 @@
     void handleEarlierOutcome(const CallPtr&, const Claim&, const std::optional<AttemptOutcome>&);
     void submit(const CallPtr&);
     void answer(const CallPtr&, const JobOutcome&);
+    void unregister(const CallPtr&);
     void refuse(HttpResponder&, ErrorKind, const std::string& message);
 
     EventLoop& m_loop;
@@ -57,7 +64,8 @@
     PeerLink& m_peers;
     Metrics& m_metrics;
     AttemptLog m_attempts;
-    std::map<std::pair<TeamId, RequestId>, QueueTicket> m_tickets; // for cancellation
+    // All unanswered calls that have an id, for cancellation. Several calls may have the same id.
+    std::multimap<CallKey, CallPtr> m_calls;
     bool m_isStopping { false };
     std::size_t m_open { 0 };
 };
