Entry: cancelling a forwarded request reaches the peer before it is acknowledged

Callers saw 200 with "found": true for cancelling a request that had been forwarded, and the peer ran it to its end. If the peer was frozen, it started the task after the acknowledgement.

Cause: Dispatcher::cancel() did nothing for a forwarded request, and peers had no message for it.

ForwardCall has a number now, and the new message ForwardCancel names it. It is sent again until the peer has confirmed it or has ended the request; the caller gets its 200 only then. A peer that has not received the request yet refuses, so a cancelling that overtakes it is sent again. A peer of an earlier version refuses too, and the caller waits until the request has ended.

--- a/idl/Peer.thrift
+++ b/idl/Peer.thrift
@@ -101,6 +101,13 @@
   5: i64 remainingMs
   6: bool isIdempotent
   7: string checkpoint
+  8: i64 call // number of the call, for ForwardCancel; 0 from senders of earlier versions
+}
+
+// Cancels a forwarded request.
+struct ForwardCancel {
+  1: i64 sender
+  2: i64 call
 }
 
 struct ForwardReply {
--- a/include/marigoldlink/Protocol/Generated/Peer_types.h
+++ b/include/marigoldlink/Protocol/Generated/Peer_types.h
@@ -51,6 +51,8 @@
 
 class ForwardCall;
 
+class ForwardCancel;
+
 class ForwardReply;
 
 typedef struct _PoolLoad__isset {
@@ -850,7 +852,7 @@
 std::ostream& operator<<(std::ostream& out, const OutcomeReply& obj);
 
 typedef struct _ForwardCall__isset {
-  _ForwardCall__isset() : sender(false), team(false), queue(false), body(false), remainingMs(false), isIdempotent(false), checkpoint(false) {}
+  _ForwardCall__isset() : sender(false), team(false), queue(false), body(false), remainingMs(false), isIdempotent(false), checkpoint(false), call(false) {}
   bool sender :1;
   bool team :1;
   bool queue :1;
@@ -858,6 +860,7 @@
   bool remainingMs :1;
   bool isIdempotent :1;
   bool checkpoint :1;
+  bool call :1;
 } _ForwardCall__isset;
 
 class ForwardCall : public virtual ::apache::thrift::TBase {
@@ -872,7 +875,8 @@
                 body(),
                 remainingMs(0),
                 isIdempotent(0),
-                checkpoint() {
+                checkpoint(),
+                call(0) {
   }
 
   virtual ~ForwardCall() noexcept;
@@ -883,6 +887,7 @@
   int64_t remainingMs;
   bool isIdempotent;
   std::string checkpoint;
+  int64_t call;
 
   _ForwardCall__isset __isset;
 
@@ -900,6 +905,8 @@
 
   void __set_checkpoint(const std::string& val);
 
+  void __set_call(const int64_t val);
+
   bool operator == (const ForwardCall & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -916,6 +923,8 @@
       return false;
     if (!(checkpoint == rhs.checkpoint))
       return false;
+    if (!(call == rhs.call))
+      return false;
     return true;
   }
   bool operator != (const ForwardCall &rhs) const {
@@ -934,6 +943,56 @@
 
 std::ostream& operator<<(std::ostream& out, const ForwardCall& obj);
 
+typedef struct _ForwardCancel__isset {
+  _ForwardCancel__isset() : sender(false), call(false) {}
+  bool sender :1;
+  bool call :1;
+} _ForwardCancel__isset;
+
+class ForwardCancel : public virtual ::apache::thrift::TBase {
+ public:
+
+  ForwardCancel(const ForwardCancel&) noexcept;
+  ForwardCancel& operator=(const ForwardCancel&) noexcept;
+  ForwardCancel() noexcept
+                : sender(0),
+                  call(0) {
+  }
+
+  virtual ~ForwardCancel() noexcept;
+  int64_t sender;
+  int64_t call;
+
+  _ForwardCancel__isset __isset;
+
+  void __set_sender(const int64_t val);
+
+  void __set_call(const int64_t val);
+
+  bool operator == (const ForwardCancel & rhs) const
+  {
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(call == rhs.call))
+      return false;
+    return true;
+  }
+  bool operator != (const ForwardCancel &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ForwardCancel & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ForwardCancel &a, ForwardCancel &b);
+
+std::ostream& operator<<(std::ostream& out, const ForwardCancel& obj);
+
 typedef struct _ForwardReply__isset {
   _ForwardReply__isset() : errorName(false), body(false) {}
   bool errorName :1;
--- a/lib/Protocol/Generated/Peer_types.cpp
+++ b/lib/Protocol/Generated/Peer_types.cpp
@@ -2017,6 +2017,10 @@
 void ForwardCall::__set_checkpoint(const std::string& val) {
   this->checkpoint = val;
 }
+
+void ForwardCall::__set_call(const int64_t val) {
+  this->call = val;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardCall& obj)
 {
   obj.printTo(out);
@@ -2101,6 +2105,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call);
+          this->__isset.call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2146,6 +2158,10 @@
   xfer += oprot->writeString(this->checkpoint);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->call);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2160,6 +2176,7 @@
   swap(a.remainingMs, b.remainingMs);
   swap(a.isIdempotent, b.isIdempotent);
   swap(a.checkpoint, b.checkpoint);
+  swap(a.call, b.call);
   swap(a.__isset, b.__isset);
 }
 
@@ -2171,6 +2188,7 @@
   remainingMs = other60.remainingMs;
   isIdempotent = other60.isIdempotent;
   checkpoint = other60.checkpoint;
+  call = other60.call;
   __isset = other60.__isset;
 }
 ForwardCall& ForwardCall::operator=(const ForwardCall& other61) {
@@ -2181,6 +2199,7 @@
   remainingMs = other61.remainingMs;
   isIdempotent = other61.isIdempotent;
   checkpoint = other61.checkpoint;
+  call = other61.call;
   __isset = other61.__isset;
   return *this;
 }
@@ -2194,6 +2213,119 @@
   out << ", " << "remainingMs=" << to_string(remainingMs);
   out << ", " << "isIdempotent=" << to_string(isIdempotent);
   out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "call=" << to_string(call);
+  out << ")";
+}
+
+
+ForwardCancel::~ForwardCancel() noexcept {
+}
+
+
+void ForwardCancel::__set_sender(const int64_t val) {
+  this->sender = val;
+}
+
+void ForwardCancel::__set_call(const int64_t val) {
+  this->call = val;
+}
+std::ostream& operator<<(std::ostream& out, const ForwardCancel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ForwardCancel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sender);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call);
+          this->__isset.call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ForwardCancel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardCancel");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->call);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardCancel &a, ForwardCancel &b) {
+  using ::std::swap;
+  swap(a.sender, b.sender);
+  swap(a.call, b.call);
+  swap(a.__isset, b.__isset);
+}
+
+ForwardCancel::ForwardCancel(const ForwardCancel& other62) noexcept {
+  sender = other62.sender;
+  call = other62.call;
+  __isset = other62.__isset;
+}
+ForwardCancel& ForwardCancel::operator=(const ForwardCancel& other63) noexcept {
+  sender = other63.sender;
+  call = other63.call;
+  __isset = other63.__isset;
+  return *this;
+}
+void ForwardCancel::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ForwardCancel(";
+  out << "sender=" << to_string(sender);
+  out << ", " << "call=" << to_string(call);
   out << ")";
 }
 
@@ -2290,15 +2422,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardReply::ForwardReply(const ForwardReply& other62) {
-  errorName = other62.errorName;
-  body = other62.body;
-  __isset = other62.__isset;
+ForwardReply::ForwardReply(const ForwardReply& other64) {
+  errorName = other64.errorName;
+  body = other64.body;
+  __isset = other64.__isset;
 }
-ForwardReply& ForwardReply::operator=(const ForwardReply& other63) {
-  errorName = other63.errorName;
-  body = other63.body;
-  __isset = other63.__isset;
+ForwardReply& ForwardReply::operator=(const ForwardReply& other65) {
+  errorName = other65.errorName;
+  body = other65.body;
+  __isset = other65.__isset;
   return *this;
 }
 void ForwardReply::printTo(std::ostream& out) const {
--- a/tools/marigold-entry/CallerApi.cpp
+++ b/tools/marigold-entry/CallerApi.cpp
@@ -75,7 +75,7 @@
         if (request.method != "POST")
             throw Error(ErrorKind::MalformedRequest, "the method must be POST");
         if (request.path.starts_with(s_requestPrefix))
-            serveCancel(request, *responder);
+            serveCancel(request, responder);
         else
             serveTask(request, responder);
     } catch (const Error& error) {
@@ -231,7 +231,7 @@
         call->responder->onClosed([this, ticket = *call->ticket, isIdempotent = call->request.isIdempotent] {
             // The caller has closed the connection, so the response of an idempotent request is not needed any more.
             if (isIdempotent)
-                m_dispatcher.cancel(ticket);
+                m_dispatcher.cancel(ticket, [] {});
         });
     }
 }
@@ -273,7 +273,7 @@
     responder.send(std::move(answer));
 }
 
-void CallerApi::serveCancel(const HttpRequest& request, HttpResponder& responder)
+void CallerApi::serveCancel(const HttpRequest& request, const HttpResponderPtr& responder)
 {
     const RequestId id(std::string(between(request.path, s_requestPrefix, s_cancelSuffix)));
     const auto [first, last] = m_calls.equal_range(CallKey(authenticated(request), id));
@@ -282,16 +282,25 @@
     for (auto it = first; it != last; ++it)
         calls.push_back(it->second);
     bool isFound = false;
-    for (const auto& call : calls) {
+    for (const auto& call : calls)
         isFound |= !call->hasEarlierAttempt;
+    // Answered once none of the calls is started any more.
+    const auto open = std::make_shared<std::size_t>(calls.size() + 1);
+    const auto release = [open, responder, isFound] {
+        if (--*open == 0)
+            responder->send({ isFound ? 200 : 404, Json { { "found", isFound } }.dump(), "application/json", {} });
+    };
+    for (const auto& call : calls) {
         call->isCancelled = true;
         if (call->ticket)
-            m_dispatcher.cancel(*call->ticket);
+            m_dispatcher.cancel(*call->ticket, release);
+        else
+            release();
     }
-    responder.send({ isFound ? 200 : 404, Json { { "found", isFound } }.dump(), "application/json", {} });
+    release();
 }
 
-std::optional<ErrorKind> CallerApi::runForwarded(JobRequest request, std::function<void(JobOutcome)> onDone)
+std::variant<QueueTicket, ErrorKind> CallerApi::runForwarded(JobRequest request, std::function<void(JobOutcome)> onDone)
 {
     const auto* spec = m_config.spec();
     if (m_isStopping)
@@ -305,9 +314,10 @@
         return ErrorKind::UnknownQueue;
     request.pool = spec->pool(queue->second);
     request.urgency = spec->urgency(queue->second);
-    if (!m_dispatcher.submit(std::move(request), std::move(onDone)))
+    const auto ticket = m_dispatcher.submit(std::move(request), std::move(onDone));
+    if (!ticket)
         return ErrorKind::QueueFull;
-    return std::nullopt;
+    return *ticket;
 }
 
 } // namespace marigoldlink
--- a/tools/marigold-entry/CallerApi.h
+++ b/tools/marigold-entry/CallerApi.h
@@ -23,8 +23,8 @@
 
     // Returns the outcome of an attempt of this process. Called for peers.
     AttemptOutcome attemptOutcome(const Claim&) const;
-    // Queues a request forwarded by a peer. Returns the error if it cannot be queued.
-    std::optional<ErrorKind> runForwarded(JobRequest, std::function<void(JobOutcome)>);
+    // Queues a request forwarded by a peer. Returns its ticket, or the error if it cannot be queued.
+    std::variant<QueueTicket, ErrorKind> runForwarded(JobRequest, std::function<void(JobOutcome)>);
 
 private:
     struct Call {
@@ -45,7 +45,7 @@
     JobRequest validateRequest(const HttpRequest&) const;
     TeamId authenticated(const HttpRequest&) const;
     void serveTask(const HttpRequest&, const HttpResponderPtr&);
-    void serveCancel(const HttpRequest&, HttpResponder&);
+    void serveCancel(const HttpRequest&, const HttpResponderPtr&);
     void claimThenSubmit(const CallPtr&);
     void handleClaimReply(const CallPtr&, const ClaimReplyResult&);
     void retryClaim(const CallPtr&, ErrorKind otherwise);
--- a/tools/marigold-entry/Dispatcher.cpp
+++ b/tools/marigold-entry/Dispatcher.cpp
@@ -408,7 +408,7 @@
     job.phase = Job::Phase::Forwarded;
     const auto remaining = std::max(Duration(1), job.request.deadline - m_loop.now());
     m_metrics.countForward();
-    m_peers.forward(peer, job.request, remaining, [this, ticket](JobOutcome outcome) {
+    job.forward = m_peers.forward(peer, job.request, remaining, [this, ticket](JobOutcome outcome) {
         auto& job = m_jobs.at(number(ticket));
         job.mayHaveRun |= !outcome.isNotRun();
         const bool mayTryAgain = outcome.isNotRun() || (job.request.isIdempotent && outcome.error);
@@ -453,18 +453,24 @@
         job.onDone(std::move(outcome));
 }
 
-void Dispatcher::cancel(QueueTicket ticket)
+void Dispatcher::cancel(QueueTicket ticket, const std::function<void()>& onCancelled)
 {
     const auto found = m_jobs.find(number(ticket));
-    if (found == m_jobs.end())
+    if (found == m_jobs.end()) {
+        onCancelled();
         return;
+    }
     auto& job = found->second;
     job.isCancelled = true;
-    if (job.phase == Job::Phase::Queued) {
+    if (job.phase == Job::Phase::Forwarded) {
+        m_peers.cancelForwarded(*job.forward, onCancelled);
+        return;
+    }
+    if (job.phase == Job::Phase::Queued)
         finishQueued(ticket, ErrorKind::Cancelled);
-    } else if (job.phase == Job::Phase::Running) {
+    else if (job.phase == Job::Phase::Running)
         m_workers.stop(job.link->record.endpoint, job.task, [](StopResult) {});
-    }
+    onCancelled();
 }
 
 void Dispatcher::handleDeadline(QueueTicket ticket)
--- a/tools/marigold-entry/Dispatcher.h
+++ b/tools/marigold-entry/Dispatcher.h
@@ -24,7 +24,10 @@
     // Selects a peer that has a free slot in the pool and either holds idle escrow of the team or can acquire escrow.
     // The latter is considered only if the team runs below its limit.
     virtual std::optional<HolderId> selectPeer(const PoolId&, const TeamId&, bool isBelowLimit) const = 0;
-    virtual void forward(HolderId, const JobRequest&, Duration remaining, std::function<void(JobOutcome)>) = 0;
+    virtual ForwardId forward(HolderId, const JobRequest&, Duration remaining, std::function<void(JobOutcome)>) = 0;
+    // Tells the peer that the request is cancelled. Calls back once the peer has confirmed it or has answered the
+    // request. From then on the peer does not start it.
+    virtual void cancelForwarded(ForwardId, std::function<void()>) = 0;
 };
 
 class Dispatcher {
@@ -44,8 +47,9 @@
     std::optional<QueueTicket> submit(JobRequest, std::function<void(JobOutcome)>);
 
     // Cancels a request, which is not started again: a queued request is answered with "cancelled", a running task is
-    // stopped.
-    void cancel(QueueTicket);
+    // stopped, and a peer that has it is told to do the same.
+    // Calls back once neither this process nor the peer starts the request any more, which may be within the call.
+    void cancel(QueueTicket, const std::function<void()>& onCancelled);
 
     // Starts or forwards queued requests as far as slots and escrow allow, and preempts deferrable tasks for urgent
     // ones.
--- a/tools/marigold-entry/Job.h
+++ b/tools/marigold-entry/Job.h
@@ -20,6 +20,9 @@
     bool isNotRun() const { return error && errorInfo(*error).runState == RunState::NotRun; }
 };
 
+// Identifies a request that this process has forwarded.
+enum class ForwardId : std::uint64_t {};
+
 struct JobRequest {
     TeamId team;
     QueueId queue;
@@ -53,6 +56,7 @@
     WorkerLinkPtr link;
     LeaseId lease;
     std::shared_ptr<EscrowHolder> escrow;
+    std::optional<ForwardId> forward; // the last forwarding
 };
 
 // Error with which a request ends when it is not started again.
--- a/tools/marigold-entry/PeerCalls.cpp
+++ b/tools/marigold-entry/PeerCalls.cpp
@@ -11,6 +11,7 @@
 
     constexpr Duration s_forwardTimeoutMargin { 500 };
     constexpr Duration s_handoverRetryDelay { 200 };
+    constexpr Duration s_cancelRetryDelay { 100 };
 
 } // namespace
 
@@ -35,22 +36,28 @@
     });
 }
 
-void PeerLink::forward(
+ForwardId PeerLink::forward(
     HolderId to, const JobRequest& request, Duration remaining, std::function<void(JobOutcome)> callback)
 {
     // Deducted immediately, so that the next selection does not count on the same slot.
     auto& peer = m_peers[to];
     --peer.freeSlots[request.pool];
     --peer.teams[request.team].idleEscrow;
+    const ForwardId id { m_nextForward++ };
+    m_forwardings[id] = { m_membership.self(), to, {} };
     wire::ForwardCall call;
     call.sender = static_cast<std::int64_t>(number(m_membership.self()));
+    call.call = static_cast<std::int64_t>(id);
     call.team = request.team.value();
     call.queue = request.queue.value();
     call.body = request.body;
     call.remainingMs = remaining.count();
     call.isIdempotent = request.isIdempotent;
     call.checkpoint = request.checkpoint;
-    send(to, "forward", call, remaining + s_forwardTimeoutMargin, [callback = std::move(callback)](HttpResult result) {
+    const auto onAnswer = [this, id, callback = std::move(callback)](const HttpResult& result) {
+        const auto forwarding = m_forwardings.extract(id);
+        for (const auto& onCancelled : forwarding.mapped().onCancelled)
+            m_loop.post(onCancelled);
         if (result.kind == HttpResult::Kind::NotSent) {
             callback({ ErrorKind::NoCapacity, {} });
             return;
@@ -64,6 +71,41 @@
             callback({ std::nullopt, std::move(answer->body) });
         else
             callback({ errorKind(answer->errorName).value_or(ErrorKind::Internal), std::move(answer->body) });
+    };
+    send(to, "forward", call, remaining + s_forwardTimeoutMargin, onAnswer);
+    return id;
+}
+
+void PeerLink::cancelForwarded(ForwardId id, std::function<void()> onCancelled)
+{
+    const auto found = m_forwardings.find(id);
+    if (found == m_forwardings.end()) {
+        onCancelled();
+        return;
+    }
+    found->second.onCancelled.push_back(std::move(onCancelled));
+    sendForwardCancel(id);
+}
+
+void PeerLink::sendForwardCancel(ForwardId id)
+{
+    const auto found = m_forwardings.find(id);
+    if (found == m_forwardings.end())
+        return;
+    wire::ForwardCancel message;
+    message.sender = static_cast<std::int64_t>(number(found->second.sender));
+    message.call = static_cast<std::int64_t>(id);
+    send(found->second.receiver, "forward-cancel", message, peerCallTimeout, [this, id](const HttpResult& result) {
+        const auto forwarding = m_forwardings.find(id);
+        if (forwarding == m_forwardings.end())
+            return;
+        if (!result.isOk()) {
+            // The peer refuses while the forwarded request itself has not arrived.
+            m_loop.after(jittered(s_cancelRetryDelay), [this, id] { sendForwardCancel(id); });
+            return;
+        }
+        for (const auto& onCancelled : std::exchange(forwarding->second.onCancelled, {}))
+            onCancelled();
     });
 }
 
--- a/tools/marigold-entry/PeerLink.h
+++ b/tools/marigold-entry/PeerLink.h
@@ -7,6 +7,8 @@
 #include "marigoldlink/Coordination/Claims.h"
 #include "marigoldlink/Protocol/Generated/Peer_types.h"
 
+#include <variant>
+
 namespace marigoldlink {
 
 // Response of the owner to a claim. If wasReached is false, the owner did not respond.
@@ -27,7 +29,8 @@
 public:
     struct Hooks {
         std::function<void(wire::Heartbeat&)> fillLoad;
-        std::function<std::optional<ErrorKind>(JobRequest, std::function<void(JobOutcome)>)> runForwarded;
+        std::function<std::variant<QueueTicket, ErrorKind>(JobRequest, std::function<void(JobOutcome)>)> runForwarded;
+        std::function<void(QueueTicket)> cancel;
         std::function<AttemptOutcome(const Claim&)> attemptOutcome;
         std::function<void()> onChange;
     };
@@ -66,7 +69,8 @@
     std::map<TeamId, bool> teamsOnPeers() const override;
     bool lacksEscrowOnPeers(const TeamId&) const override;
     std::optional<HolderId> selectPeer(const PoolId&, const TeamId&, bool isBelowLimit) const override;
-    void forward(HolderId, const JobRequest&, Duration remaining, std::function<void(JobOutcome)>) override;
+    ForwardId forward(HolderId, const JobRequest&, Duration remaining, std::function<void(JobOutcome)>) override;
+    void cancelForwarded(ForwardId, std::function<void()>) override;
 
 private:
     struct Peer {
@@ -105,6 +109,7 @@
     bool isFresh(const Peer&) const;
     void aggregatePeerLoads();
 
+    void sendForwardCancel(ForwardId);
     void serveHeartbeat(const std::string& body, HttpResponder&);
     void serveConfig(const std::string& body, HttpResponder&);
     void serveClaim(const std::string& body, HttpResponder&);
@@ -112,6 +117,7 @@
     void serveHandover(const std::string& body, HttpResponder&);
     void serveOutcome(const std::string& body, HttpResponder&);
     void serveForward(const std::string& body, HttpResponderPtr);
+    void serveForwardCancel(const std::string& body, HttpResponder&);
 
     EventLoop& m_loop;
     HttpClient& m_client;
@@ -126,6 +132,16 @@
     std::map<TeamId, Slots> m_runningOnPeers;
     std::set<TeamId> m_teamsLackingEscrow;
     std::size_t m_nextRemotePeer { 0 };
+    // Requests forwarded to a peer that has not answered yet.
+    struct Forwarding {
+        HolderId sender; // holder id of this process when it forwarded
+        HolderId receiver;
+        std::vector<std::function<void()>> onCancelled;
+    };
+    std::map<ForwardId, Forwarding> m_forwardings;
+    std::uint64_t m_nextForward { 1 };
+    // Requests forwarded by peers that this process has not answered yet.
+    std::map<std::pair<HolderId, ForwardId>, QueueTicket> m_received;
     int m_pendingHandovers { 0 };
     bool m_isConfigCompared { false };
 };
--- a/tools/marigold-entry/PeerServing.cpp
+++ b/tools/marigold-entry/PeerServing.cpp
@@ -45,6 +45,8 @@
         serveOutcome(body, *responder);
     else if (path == "forward")
         serveForward(body, std::move(responder));
+    else if (path == "forward-cancel")
+        serveForwardCancel(body, *responder);
     else
         replyMalformed(*responder);
 }
@@ -160,15 +162,35 @@
     request.body = std::move(call.body);
     request.checkpoint = std::move(call.checkpoint);
     request.deadline = m_loop.now() + Duration(call.remainingMs);
-    const auto answer = [responder](JobOutcome outcome) {
+    const std::pair id(HolderId(static_cast<std::uint64_t>(call.sender)), ForwardId(call.call));
+    const auto answer = [this, id, responder](JobOutcome outcome) {
+        m_received.erase(id);
         wire::ForwardReply message;
         if (outcome.error)
             message.errorName = errorInfo(*outcome.error).name;
         message.body = std::move(outcome.body);
         reply(*responder, message);
     };
-    if (const auto refusal = m_hooks.runForwarded(std::move(request), answer))
+    const auto result = m_hooks.runForwarded(std::move(request), answer);
+    if (const auto* refusal = std::get_if<ErrorKind>(&result))
         answer({ *refusal, {} });
+    else
+        m_received[id] = std::get<QueueTicket>(result);
+}
+
+void PeerLink::serveForwardCancel(const std::string& body, HttpResponder& responder)
+{
+    wire::ForwardCancel message;
+    if (!decodePeer(body, message)) {
+        replyMalformed(responder);
+        return;
+    }
+    const auto found
+        = m_received.find({ HolderId(static_cast<std::uint64_t>(message.sender)), ForwardId(message.call) });
+    const bool isFound = found != m_received.end();
+    if (isFound)
+        m_hooks.cancel(found->second);
+    responder.send({ isFound ? 200 : 404, {}, "text/plain", {} });
 }
 
 } // namespace marigoldlink
