--- a/tools/marigold-entry/CallerApi.h
+++ b/tools/marigold-entry/CallerApi.h
@@ -23,8 +23,8 @@
 
     // Returns the outcome of an attempt of this process. Called for peers.
     AttemptOutcome attemptOutcome(const Claim&) const;
-    // Queues a request forwarded by a peer. Returns the error if it cannot be queued.
-    std::optional<ErrorKind> runForwarded(JobRequest, std::function<void(JobOutcome)>);
+    // Queues a request forwarded by a peer. Returns its ticket, or the error if it cannot be queued.
+    std::variant<QueueTicket, ErrorKind> runForwarded(JobRequest, std::function<void(JobOutcome)>);
 
 private:
     struct Call {
@@ -33,19 +33,26 @@
         RequestId id;
         std::optional<Claim> claim;
         int claimTries { 0 };
+        // True while an earlier attempt holds the id. This call does not run then.
+        bool hasEarlierAttempt { false };
+        // Set once the request was cancelled. From then on it must not be queued.
+        bool isCancelled { false };
+        std::optional<QueueTicket> ticket;
     };
     using CallPtr = std::shared_ptr<Call>;
+    using CallKey = std::pair<TeamId, RequestId>;
 
     JobRequest validateRequest(const HttpRequest&) const;
     TeamId authenticated(const HttpRequest&) const;
     void serveTask(const HttpRequest&, const HttpResponderPtr&);
-    void serveCancel(const HttpRequest&, HttpResponder&);
+    void serveCancel(const HttpRequest&, const HttpResponderPtr&);
     void claimThenSubmit(const CallPtr&);
     void handleClaimReply(const CallPtr&, const ClaimReplyResult&);
     void retryClaim(const CallPtr&, ErrorKind otherwise);
     void handleEarlierOutcome(const CallPtr&, const Claim&, const std::optional<AttemptOutcome>&);
     void submit(const CallPtr&);
     void answer(const CallPtr&, const JobOutcome&);
+    void unregister(const CallPtr&);
     void refuse(HttpResponder&, ErrorKind, const std::string& message);
 
     EventLoop& m_loop;
@@ -57,7 +64,8 @@
     PeerLink& m_peers;
     Metrics& m_metrics;
     AttemptLog m_attempts;
-    std::map<std::pair<TeamId, RequestId>, QueueTicket> m_tickets; // for cancellation
+    // All unanswered calls that have an id, for cancellation. Several calls may have the same id.
+    std::multimap<CallKey, CallPtr> m_calls;
     bool m_isStopping { false };
     std::size_t m_open { 0 };
 };
--- a/tools/marigold-entry/Job.h
+++ b/tools/marigold-entry/Job.h
@@ -20,6 +20,9 @@
     bool isNotRun() const { return error && errorInfo(*error).runState == RunState::NotRun; }
 };
 
+// Identifies a request that this process has forwarded.
+enum class ForwardId : std::uint64_t {};
+
 struct JobRequest {
     TeamId team;
     QueueId queue;
@@ -46,11 +49,14 @@
     // Set once any start may have run, even partially. From then on the request must not be answered with "not run".
     bool mayHaveRun { false };
     bool isCheckpointRequested { false };
+    // Set once the request was cancelled. From then on it must not be started again.
+    bool isCancelled { false };
     // State of the current start:
     TaskId task;
     WorkerLinkPtr link;
     LeaseId lease;
     std::shared_ptr<EscrowHolder> escrow;
+    std::optional<ForwardId> forward; // the last forwarding
 };
 
 // Error with which a request ends when it is not started again.
@@ -58,7 +64,9 @@
 {
     if (job.failures > 0)
         return ErrorKind::TaskFailed;
-    return job.mayHaveRun ? ErrorKind::WorkerLost : ErrorKind::DeadlinePassed;
+    if (job.mayHaveRun)
+        return ErrorKind::WorkerLost;
+    return job.isCancelled ? ErrorKind::Cancelled : ErrorKind::DeadlinePassed;
 }
 
 } // namespace marigoldlink
