Refuse a late submission only once its cancelling is stored, and renew the retention of a repeated one

And a cancelling that was repeated shortly before the end of the retention was acknowledged by an id that was forgotten seconds later.

The refusal now waits for the record, as the cancelling does; a repetition starts the retention anew, in memory only, since a successor starts it anew too. Expired ids are removed before the limit of a team is judged.

--- a/include/marigoldlink/Coordination/CancelledIds.h
+++ b/include/marigoldlink/Coordination/CancelledIds.h
@@ -19,7 +19,7 @@
 public:
     struct Limits {
         std::size_t idsPerTeam { 500 };
-        Duration retention { 120000 }; // from the time at which an id is stored
+        Duration retention { 120000 }; // from the time at which an id is stored or renewed
     };
 
     explicit CancelledIds(Limits limits)
@@ -32,6 +32,8 @@
     // Keeps an id that a predecessor stored, regardless of the limit.
     void restore(const JobId&, const TeamId&, TimePoint now);
     void markStored(const JobId&, TimePoint now);
+    // Starts the retention of a stored id anew.
+    void renew(const JobId&, TimePoint now);
 
     bool contains(const JobId& id) const { return m_ids.contains(id); }
     // The id is kept and its record is stored.
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -129,8 +129,9 @@
         Reply reply;
         TimePoint since;
     };
-    struct CancelCall {
+    struct CallOfCancelledId {
         CallToken token {};
+        Reply::Kind reply {};
         TimePoint since;
     };
     struct RecordVersion {
@@ -162,6 +163,8 @@
 
     // Cancelling of ids whose submission has not arrived.
     void cancelUnknown(CallToken, const JobId&, TimePoint now, const CallOrigin&);
+    // Replies to a submission of a kept id.
+    void refuseCancelled(CallToken, const JobId&, TimePoint now, const CallOrigin&);
     void flushCancelledIds();
     void cancelledIdStored(const JobId&, TimePoint now);
     void removeExpiredIds(TimePoint now);
@@ -301,8 +304,9 @@
     AdviceCache m_advice { {} };
     std::map<JobId, std::vector<PendingReply>> m_replies;
     CancelledIds m_cancelledIds;
-    // Calls that wait for a cancelled id to be stored. Invariant: each of the ids is in m_cancelledIds and not stored.
-    std::map<JobId, std::vector<CancelCall>> m_cancelCalls;
+    // Cancellings and submissions that wait for a cancelled id to be stored. Invariant: each of the ids is in
+    // m_cancelledIds and not stored.
+    std::map<JobId, std::vector<CallOfCancelledId>> m_callsOfCancelledIds;
     std::map<std::string, RecordVersion> m_queuedVersions; // by record key
     std::map<std::string, RecordVersion> m_batchVersions; // records of the batch in flight, by key
     TimePoint m_batchSentAt;
--- a/include/marigoldlink/Entry/Orders.h
+++ b/include/marigoldlink/Entry/Orders.h
@@ -94,7 +94,7 @@
         Cancelled, // the job is stored as ended
         State,
         Waiting,
-        UnknownJob,
+        UnknownJob, // to a cancelling: its id is stored as cancelled
         Refused, // not stored, and never will be
         NotCoordinator, // the call had no effect; another instance is the coordinator
         AlreadyCancelled, // not accepted: the job was cancelled before this submission of it arrived
--- a/lib/Coordination/CancelledIds.cpp
+++ b/lib/Coordination/CancelledIds.cpp
@@ -35,6 +35,16 @@
     m_expiries[found->second.team].emplace(expiresAt, id);
 }
 
+void CancelledIds::renew(const JobId& id, TimePoint now)
+{
+    assert(isStored(id) && "only the retention of a stored id can be renewed");
+    auto& entry = m_ids.at(id);
+    auto& expiries = m_expiries.at(entry.team);
+    expiries.erase({ *entry.expiresAt, id });
+    entry.expiresAt = now + m_limits.retention;
+    expiries.emplace(*entry.expiresAt, id);
+}
+
 bool CancelledIds::isStored(const JobId& id) const
 {
     const auto found = m_ids.find(id);
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -198,12 +198,7 @@
         return;
     }
     if (m_cancelledIds.contains(id)) {
-        // A successor may have let the id expire.
-        const bool isCertain = isLeaseValid(now);
-        logCall(
-            "submission", id, isCertain ? "refused: cancelled before" : "cancelled before, not certain", origin, now);
-        const auto kind = isCertain ? Reply::Kind::AlreadyCancelled : Reply::Kind::NotCoordinator;
-        m_orders.emplace_back(ReplyOrder { token, { kind, {}, 0, {} } });
+        refuseCancelled(token, id, now, origin);
         return;
     }
     const auto limit = wait ? std::min(s_submissionTimeout, *wait - s_replyMargin) : s_submissionTimeout;
--- a/lib/Entry/CoordinatorCancelling.cpp
+++ b/lib/Entry/CoordinatorCancelling.cpp
@@ -46,19 +46,34 @@
     }
     if (m_cancelledIds.isStored(id)) {
         logCall("cancelling", id, "cancelling: unknown job, cancelled before", origin, now);
+        m_cancelledIds.renew(id, now);
         reply(Reply::Kind::UnknownJob);
         return;
     }
+    removeExpiredIds(now);
     if (!m_cancelledIds.contains(id) && !m_cancelledIds.add(id, origin.team)) {
         logCall("cancelling", id, "cancelling: unknown job, refused: the team has too many", origin, now);
         reply(Reply::Kind::NotCancelled, m_cancelledIds.nextExpiry(origin.team, now).value_or(s_storeRetryAfter));
         return;
     }
     logCall("cancelling", id, "cancelling: unknown job", origin, now);
-    m_cancelCalls[id].push_back({ token, now });
+    m_callsOfCancelledIds[id].push_back({ token, Reply::Kind::UnknownJob, now });
     scheduleFlush(now);
 }
 
+void Coordinator::refuseCancelled(CallToken token, const JobId& id, TimePoint now, const CallOrigin& origin)
+{
+    // A successor may have let the id expire.
+    const bool isCertain = isLeaseValid(now);
+    logCall("submission", id, isCertain ? "refused: cancelled before" : "cancelled before, not certain", origin, now);
+    if (isCertain && !m_cancelledIds.isStored(id)) {
+        m_callsOfCancelledIds[id].push_back({ token, Reply::Kind::AlreadyCancelled, now });
+        return;
+    }
+    const auto kind = isCertain ? Reply::Kind::AlreadyCancelled : Reply::Kind::NotCoordinator;
+    m_orders.emplace_back(ReplyOrder { token, { kind, {}, 0, {} } });
+}
+
 void Coordinator::restoreCancelledId(const JobId& id, const TeamId& team, TimePoint now)
 {
     m_cancelledIds.restore(id, team, now);
@@ -73,13 +88,14 @@
 void Coordinator::cancelledIdStored(const JobId& id, TimePoint now)
 {
     m_cancelledIds.markStored(id, now);
-    const auto calls = m_cancelCalls.extract(id);
+    const auto calls = m_callsOfCancelledIds.extract(id);
     if (!calls)
         return;
     for (const auto& call : calls.mapped()) {
         log("reply", id.value(),
-            "cancelling of unknown job stored after " + std::to_string((now - call.since).count()) + " ms");
-        m_orders.emplace_back(ReplyOrder { call.token, { Reply::Kind::UnknownJob, {}, 0, {} } });
+            std::string(call.reply == Reply::Kind::UnknownJob ? "cancelling" : "submission")
+                + ": cancelled id stored after " + std::to_string((now - call.since).count()) + " ms");
+        m_orders.emplace_back(ReplyOrder { call.token, { call.reply, {}, 0, {} } });
     }
 }
 
--- a/unittests/Coordination/CancelledIdsTest.cpp
+++ b/unittests/Coordination/CancelledIdsTest.cpp
@@ -46,6 +46,20 @@
         EXPECT_TRUE(ids.add(JobId("b"), s_team)) << "an expired id does not count";
     }
 
+    TEST(CancelledIds, ARenewedIdIsKeptForItsWholeRetention)
+    {
+        CancelledIds ids({ 2, s_retention });
+        for (const char* id : { "a", "b" }) {
+            ASSERT_TRUE(ids.add(JobId(id), s_team));
+            ids.markStored(JobId(id), s_start);
+        }
+        const auto renewedAt = s_start + s_retention - Duration(1);
+        ids.renew(JobId("a"), renewedAt);
+        EXPECT_THAT(ids.takeExpired(s_start + s_retention), ElementsAre(JobId("b")));
+        EXPECT_THAT(ids.takeExpired(renewedAt + s_retention - Duration(1)), IsEmpty());
+        EXPECT_THAT(ids.takeExpired(renewedAt + s_retention), ElementsAre(JobId("a")));
+    }
+
     TEST(CancelledIds, RestoredIdsCountAgainstTheLimitButAreAllKept)
     {
         CancelledIds ids({ 1, s_retention });
--- a/unittests/Entry/CancelledIdsTest.cpp
+++ b/unittests/Entry/CancelledIdsTest.cpp
@@ -89,14 +89,15 @@
         fleet.run(Duration(200));
         ASSERT_TRUE(fleet.batch);
         EXPECT_THAT(fleet.replies, IsEmpty());
-        // The submission is not accepted meanwhile either.
+        // A submission is not refused for good before that either.
         fleet.coordinator.submit(CallToken(3), CoordinatorHarness::job("a"), fleet.now);
         fleet.run(Duration(5));
-        EXPECT_THAT(fleet.replies, Contains(isReply(CallToken(3), Reply::Kind::AlreadyCancelled)));
+        EXPECT_THAT(fleet.replies, IsEmpty());
         fleet.answerJournal();
         fleet.run(Duration(5));
         EXPECT_THAT(fleet.replies, Contains(isReply(CallToken(1), Reply::Kind::UnknownJob)));
         EXPECT_THAT(fleet.replies, Contains(isReply(CallToken(2), Reply::Kind::UnknownJob)));
+        EXPECT_THAT(fleet.replies, Contains(isReply(CallToken(3), Reply::Kind::AlreadyCancelled)));
         // A repetition needs no further write.
         fleet.replies.clear();
         fleet.coordinator.cancel(CallToken(4), JobId("a"), fleet.now, from(s_team));
@@ -174,6 +175,30 @@
         EXPECT_THAT(fleet.replies, Contains(Field(&ReplyOrder::reply, Field(&Reply::kind, Reply::Kind::Accepted))));
     }
 
+    // Guards against ids that expire shortly after a repeated cancelling was acknowledged.
+    TEST(CancelledIds, ARepeatedCancellingRenewsTheRetention)
+    {
+        CoordinatorSettings settings;
+        settings.statusRetention = Duration(2000);
+        CoordinatorHarness fleet({ 10, 1 }, {}, settings);
+        fleet.begin({ "w1" });
+        std::map<std::string, std::string> stored;
+        const auto pass = [&](Duration time) {
+            for (const auto end = fleet.now + time; fleet.now < end;) {
+                fleet.run(Duration(50));
+                fleet.storeBatch(stored);
+                fleet.answerPolls();
+            }
+        };
+        cancelAndStore(fleet, JobId("a"), stored);
+        for (int i = 0; i < 10; ++i) {
+            pass(settings.statusRetention - Duration(200));
+            cancelAndStore(fleet, JobId("a"), stored);
+        }
+        pass(settings.statusRetention - Duration(200));
+        EXPECT_THAT(stored, Contains(Key(records::cancelledId(JobId("a")))));
+    }
+
     TEST(CancelledIds, AKnownJobIsCancelledAsBefore)
     {
         CoordinatorHarness fleet;
