--- a/include/marigoldlink/Coordination/Journal.h
+++ b/include/marigoldlink/Coordination/Journal.h
@@ -36,8 +36,7 @@
 // Priority of a record, by what waits for it to be stored.
 enum class RecordClass {
     // A caller waits for its job to be accepted, or starts wait for the worker's record. Records of one class keep
-    // their
-    // order, so progress that must not be stored before its job is of this class too.
+    // their order, so progress that must not be stored before its job is of this class too.
     Urgent,
     Progress, // ended runs, which are acknowledged to the workers once stored, and cancellings
     Removal, // nothing waits for it here, but a successor that finds the record has to poll the worker
