Tests: an entry instance does not pass on a refusal after an unanswered attempt

From the review: only the model's copy of the decision was tested. With the check taken out of FleetNode (a trial) ARefusalAfterAnUnansweredAttemptIsNotPassedOn fails.

--- /dev/null
+++ b/unittests/Entry/ForwardedCallsTest.cpp
@@ -0,0 +1,81 @@
+// Tests of what an entry instance makes of the replies of the coordinator to which it forwards a call.
+#include "ScriptedPlatform.h"
+#include "marigoldlink/Entry/FleetNode.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldlink {
+namespace {
+
+    // An entry instance and a coordinator on another one, which replies as the test tells it.
+    class ForwardedCalls : public testing::Test {
+    protected:
+        ForwardedCalls()
+            : coordinator(loop, {},
+                [this](const HttpRequest& request, const HttpResponderPtr& responder) { serve(request, responder); })
+            , node(loop, platform, settings(), {})
+        {
+            const auto endpoint = coordinator.listen({ "127.0.0.1", 0 });
+            node.start();
+            platform.answer(platform.operatorPrefix(), StoreStatus::Ok, Revision(10),
+                { { "operators/config", "1", Revision(10) } });
+            platform.answer(
+                records::owner, StoreStatus::Ok, Revision(20), { { records::owner, endpoint.text(), Revision(20) } });
+        }
+
+        static NodeSettings settings()
+        {
+            NodeSettings settings;
+            settings.peers = { "127.0.0.1", 0 };
+            settings.peerTimeout = Duration(200);
+            return settings;
+        }
+
+        void serve(const HttpRequest& request, const HttpResponderPtr& responder)
+        {
+            if (request.path != "/v1/fleet/call") {
+                responder->send({ 404, "", "text/plain", {} });
+                return;
+            }
+            const auto attempt = attempts.size();
+            attempts.push_back(responder);
+            if (attempt >= unansweredAttempts)
+                responder->send({ 200, encodeReply({ Reply::Kind::Refused, {}, 0, {} }), "text/plain", {} });
+        }
+
+        CallResult submit()
+        {
+            FleetCallRequest request { FleetCallRequest::Kind::Submit, {} };
+            request.job.id = JobId("a");
+            std::optional<CallResult> result;
+            node.call(std::move(request), Duration(5000), [&result](const CallResult& answer) { result = answer; });
+            loop.runUntil([&result] { return result.has_value(); });
+            return *result;
+        }
+
+        EventLoop loop;
+        ScriptedPlatform platform;
+        std::vector<HttpResponderPtr> attempts;
+        std::size_t unansweredAttempts { 0 };
+        HttpServer coordinator;
+        FleetNode<ScriptedPlatform> node;
+    };
+
+    TEST_F(ForwardedCalls, ARefusalOfTheOnlyAttemptIsPassedOn)
+    {
+        const auto result = submit();
+        EXPECT_EQ(result.kind, CallResult::Kind::Answered);
+        EXPECT_EQ(result.reply.kind, Reply::Kind::Refused);
+    }
+
+    // Guards against jobs that run although their submission was refused: the first attempt had no answer and was
+    // accepted after the second one had been refused.
+    TEST_F(ForwardedCalls, ARefusalAfterAnUnansweredAttemptIsNotPassedOn)
+    {
+        unansweredAttempts = 1;
+        EXPECT_EQ(submit().kind, CallResult::Kind::Unknown);
+        EXPECT_EQ(attempts.size(), 2u);
+    }
+
+} // namespace
+} // namespace marigoldlink
