Tests: count tasks that run at the same moment by their times at the workers

Cause: the check asked all workers for their numbers of running tasks and added the answers, which are not of one moment. A task may end at a worker that has answered, and the next one start at a worker that has not: both are counted.

Change: the worker stub records start and end of each task by the clock that all processes share, and the test computes the largest number that ran at the same moment, for the whole test, not only at samples 15 ms apart. So the new check is stricter. The bounds are as before.

--- a/test/Cluster.cpp
+++ b/test/Cluster.cpp
@@ -376,6 +376,54 @@
     return sum;
 }
 
+TaskHistory Cluster::taskHistory(const std::string& team)
+{
+    std::vector<TaskRun> runs;
+    for (const auto& endpoint : workerEndpoints()) {
+        const auto record = get(endpoint, "/record");
+        if (!record.contains("ran"))
+            throw std::runtime_error("the worker at " + endpoint.text() + " does not return its record");
+        for (const auto& item : record.at("ran")) {
+            if (item.at("team") != team)
+                continue;
+            const TaskRun::Time end(item.at("ended_ns").get<std::int64_t>());
+            runs.push_back({ item.at("task"), endpoint.text(), TaskRun::Time(item.at("started_ns").get<std::int64_t>()),
+                end.count() == 0 ? TaskRun::Time::max() : end });
+        }
+    }
+    return TaskHistory(std::move(runs));
+}
+
+std::vector<const TaskRun*> TaskHistory::busiest(TimePoint from, TimePoint to) const
+{
+    // The number of running tasks grows only when a task starts, so the moments of starts suffice.
+    std::vector<TaskRun::Time> moments { from.time_since_epoch() };
+    for (const auto& run : m_runs) {
+        if (run.start >= from.time_since_epoch() && run.start < to.time_since_epoch())
+            moments.push_back(run.start);
+    }
+    std::vector<const TaskRun*> result;
+    for (const auto moment : moments) {
+        std::vector<const TaskRun*> running;
+        for (const auto& run : m_runs) {
+            if (run.start <= moment && moment < run.end)
+                running.push_back(&run);
+        }
+        if (running.size() > result.size())
+            result = std::move(running);
+    }
+    return result;
+}
+
+std::string TaskHistory::describeBusiest(TimePoint from, TimePoint to) const
+{
+    std::ostringstream text;
+    for (const auto* run : busiest(from, to))
+        text << "task " << run->task << " at " << run->worker << " from " << run->start.count() << " to "
+             << run->end.count() << " ns\n";
+    return text.str();
+}
+
 Load::Options Cluster::load(std::vector<Flow> flows, Duration time) const
 {
     Load::Options load;
--- a/test/Cluster.h
+++ b/test/Cluster.h
@@ -53,6 +53,36 @@
     std::string keeperSettings;
 };
 
+// One run of a task at a worker, by the clock of EventLoop::now().
+struct TaskRun {
+    using Time = std::chrono::nanoseconds;
+
+    std::string task;
+    std::string worker;
+    Time start;
+    Time end; // of a task that still runs, Time::max()
+};
+
+// Every run of a team's tasks. It shows how many tasks ran at the same moment, which asking one worker after another
+// cannot show: a task may end at a worker that has been asked, and the next one start at a worker that has not.
+class TaskHistory {
+public:
+    explicit TaskHistory(std::vector<TaskRun> runs)
+        : m_runs(std::move(runs))
+    {
+    }
+
+    // Largest number of tasks that ran at the same moment of the period.
+    Slots maxRunning(TimePoint from, TimePoint to) const { return static_cast<Slots>(busiest(from, to).size()); }
+    // The tasks that ran at that moment, a line each.
+    std::string describeBusiest(TimePoint from, TimePoint to) const;
+
+private:
+    std::vector<const TaskRun*> busiest(TimePoint from, TimePoint to) const;
+
+    std::vector<TaskRun> m_runs;
+};
+
 class Cluster {
 public:
     explicit Cluster(ClusterOptions);
@@ -81,8 +111,10 @@
     // Removes every partition and every platform fault.
     void heal();
 
-    // Number of the team's tasks that run at all workers together.
+    // Sum of the numbers of the team's tasks that the workers run when they are asked, which is not at the same moment.
     Slots countRunningTasks(const std::string& team);
+    // The runs of the team's tasks so far. Throws std::runtime_error if a worker does not answer.
+    TaskHistory taskHistory(const std::string& team);
     // Endpoints of all worker stubs.
     std::vector<Endpoint> workerEndpoints() const;
     Load::Options load(std::vector<Flow>, Duration) const;
--- a/test/UpperLimitTest.cpp
+++ b/test/UpperLimitTest.cpp
@@ -48,29 +48,45 @@
         return flow;
     }
 
-    class RunningTasksSampler {
+    // Splits the run of a test into phases and checks, once it is over, how many tasks of team red ran at the same
+    // moment.
+    class RunningTasks {
     public:
-        explicit RunningTasksSampler(Cluster& cluster)
+        struct Phase {
+            TimePoint from;
+            TimePoint to;
+        };
+
+        explicit RunningTasks(Cluster& cluster)
             : m_cluster(cluster)
+            , m_start(cluster.loop.now())
+        {
+        }
+
+        // Lets the cluster run for the time.
+        Phase runFor(Duration time)
         {
+            const auto from = m_cluster.loop.now();
+            m_cluster.runFor(time);
+            return { from, m_cluster.loop.now() };
         }
 
-        // Samples the number of running tasks of team red for the time and checks it against the limit. Returns the
-        // maximum.
-        Slots sample(Duration time)
+        // Reads the history, and checks the limit from the start of the test until now.
+        void checkLimit()
         {
-            Slots maxRunning = 0;
-            const auto end = m_cluster.loop.now() + time;
-            while (m_cluster.loop.now() < end) {
-                maxRunning = std::max(maxRunning, m_cluster.countRunningTasks("red"));
-                EXPECT_LE(maxRunning, s_upperLimit);
-                m_cluster.runFor(Duration(15));
-            }
-            return maxRunning;
+            m_history = m_cluster.taskHistory("red");
+            const Phase whole { m_start, m_cluster.loop.now() };
+            EXPECT_LE(maxRunning(whole), s_upperLimit) << describe(whole);
         }
 
+        // Of the history that checkLimit() has read:
+        Slots maxRunning(const Phase& phase) const { return m_history.maxRunning(phase.from, phase.to); }
+        std::string describe(const Phase& phase) const { return m_history.describeBusiest(phase.from, phase.to); }
+
     private:
         Cluster& m_cluster;
+        TimePoint m_start;
+        TaskHistory m_history { {} };
     };
 
     ClusterOptions limitedFleet()
@@ -82,54 +98,77 @@
 
 } // namespace
 
+// Guards against counting a task that has ended together with the one that started after it.
+TEST(UpperLimit, TasksThatFollowEachOtherAreNotCountedTogether)
+{
+    using Time = TaskRun::Time;
+    const auto at = [](std::int64_t ms) { return TimePoint(Duration(ms)); };
+    const auto run = [](const char* task, std::int64_t startMs, std::int64_t endMs) {
+        return TaskRun { task, "worker", Duration(startMs), Duration(endMs) };
+    };
+    const TaskHistory history(
+        { run("a", 10, 20), run("b", 20, 30), run("c", 25, 40), TaskRun { "d", "worker", Duration(50), Time::max() } });
+    EXPECT_EQ(history.maxRunning(at(0), at(25)), 1);
+    EXPECT_EQ(history.maxRunning(at(0), at(60)), 2);
+    EXPECT_EQ(history.maxRunning(at(28), at(29)), 2);
+    EXPECT_EQ(history.maxRunning(at(40), at(50)), 0);
+    EXPECT_EQ(history.maxRunning(at(60), at(70)), 1);
+}
+
 TEST(UpperLimit, HoldsWhileEntriesDieAndFreeze)
 {
     Cluster cluster(limitedFleet());
-    RunningTasksSampler sampler(cluster);
+    RunningTasks tasks(cluster);
     BackgroundLoad load(cluster, { redFlow(120, 300) }, Duration(16000));
-    EXPECT_GE(sampler.sample(Duration(3000)), s_upperLimit * 3 / 4)
-        << "the team must be able to use most of its limit under load";
+    const auto undisturbed = tasks.runFor(Duration(3000));
     cluster.entries[0].process.kill();
-    sampler.sample(Duration(2000));
+    tasks.runFor(Duration(2000));
     cluster.entries[2].process.signal(SIGSTOP);
-    sampler.sample(Duration(6000));
+    tasks.runFor(Duration(6000));
     cluster.entries[2].process.signal(SIGCONT);
-    EXPECT_GE(sampler.sample(Duration(4000)), s_upperLimit * 3 / 4)
-        << "the amounts of the killed entry must be usable again";
+    const auto recovered = tasks.runFor(Duration(4000));
     load.join();
+    tasks.checkLimit();
+    EXPECT_GE(tasks.maxRunning(undisturbed), s_upperLimit * 3 / 4)
+        << "the team must be able to use most of its limit under load";
+    EXPECT_GE(tasks.maxRunning(recovered), s_upperLimit * 3 / 4)
+        << "the amounts of the killed entry must be usable again";
     EXPECT_TRUE(load.isClean()) << load.report();
 }
 
 TEST(UpperLimit, HoldsWhileThePlatformIsDownAndLosesAnswers)
 {
     Cluster cluster(limitedFleet());
-    RunningTasksSampler sampler(cluster);
+    RunningTasks tasks(cluster);
     BackgroundLoad load(cluster, { redFlow(120, 300) }, Duration(14000));
-    sampler.sample(Duration(2000));
+    tasks.runFor(Duration(2000));
     cluster.setPlatformFault("", "lose-answers");
-    sampler.sample(Duration(3000));
+    tasks.runFor(Duration(3000));
     cluster.setPlatformFault("", "silent");
     cluster.entries[1].process.kill();
-    EXPECT_GT(sampler.sample(Duration(3000)), 0) << "tasks must start during the outage of the platform";
+    const auto outage = tasks.runFor(Duration(3000));
     cluster.setPlatformFault("", "ok", 200);
-    sampler.sample(Duration(2000));
+    tasks.runFor(Duration(2000));
     cluster.setPlatformFault("", "ok");
-    sampler.sample(Duration(3000));
+    tasks.runFor(Duration(3000));
     load.join();
+    tasks.checkLimit();
+    EXPECT_GT(tasks.maxRunning(outage), 0) << "tasks must start during the outage of the platform";
     EXPECT_TRUE(load.isClean()) << load.report();
 }
 
 TEST(UpperLimit, HoldsInPartitionedDataCentre)
 {
     Cluster cluster(limitedFleet());
-    RunningTasksSampler sampler(cluster);
+    RunningTasks tasks(cluster);
     BackgroundLoad load(cluster, { redFlow(120, 300) }, Duration(14000));
-    sampler.sample(Duration(2000));
+    tasks.runFor(Duration(2000));
     cluster.partition("two", true);
-    sampler.sample(Duration(7000));
+    tasks.runFor(Duration(7000));
     cluster.heal();
-    sampler.sample(Duration(4000));
+    tasks.runFor(Duration(4000));
     load.join();
+    tasks.checkLimit();
     EXPECT_TRUE(load.isClean()) << load.report();
 }
 
@@ -158,23 +197,22 @@
 TEST(UpperLimit, LoweredLimitTakesEffectWithinSeconds)
 {
     Cluster cluster(limitedFleet());
+    RunningTasks tasks(cluster);
     BackgroundLoad load(cluster, { redFlow(120, 300) }, Duration(9000));
-    cluster.runFor(Duration(2000));
+    tasks.runFor(Duration(2000));
     cluster.applySpec(defaultFleetSpec(cluster.options.dataCenters, 4));
-    cluster.runFor(Duration(5000));
-    Slots maxRunning = 0;
-    for (int i = 0; i < 60; ++i) {
-        maxRunning = std::max(maxRunning, cluster.countRunningTasks("red"));
-        cluster.runFor(Duration(20));
-    }
-    EXPECT_LE(maxRunning, 4) << [&] {
+    tasks.runFor(Duration(5000));
+    const auto lowered = tasks.runFor(Duration(1200));
+    const auto state = [&] {
         std::string all;
         for (std::size_t i = 0; i < cluster.entries.size(); ++i)
             all += cluster.status(i).dump() + "\n";
         return all + cluster.get(cluster.platforms.back(), "/kv/escrow/red").dump();
     }();
-    EXPECT_GE(maxRunning, 3);
     load.join();
+    tasks.checkLimit();
+    EXPECT_LE(tasks.maxRunning(lowered), 4) << tasks.describe(lowered) << state;
+    EXPECT_GE(tasks.maxRunning(lowered), 3);
 }
 
 } // namespace marigoldlink::testing
--- a/tools/marigold-worker-stub/main.cpp
+++ b/tools/marigold-worker-stub/main.cpp
@@ -32,8 +32,19 @@
     TaskState state { TaskState::Running };
     HttpResponderPtr responder;
     TimePoint startedAt;
+    // Readings of one clock that all processes of the machine share, in nanoseconds. A task that still runs or never
+    // started has the end 0.
+    std::int64_t startedNs { 0 };
+    std::int64_t endedNs { 0 };
 };
 
+std::int64_t sharedClockNs()
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::nanoseconds(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)).count();
+}
+
 struct Lease {
     std::uint64_t holder { 0 };
     Duration ttl { 0 };
@@ -168,7 +179,7 @@
     {
         auto& task = m_tasks[id];
         task = { id, lease, request.parameter("team"), std::string(request.body), TaskState::Running,
-            std::move(responder), m_loop.now() };
+            std::move(responder), m_loop.now(), sharedClockNs() };
         ++m_running;
         ++m_runningByTeam[task.team];
         Duration work { 1 };
@@ -202,6 +213,7 @@
     void finish(Task& task, TaskState state, int status, std::string body)
     {
         task.state = state;
+        task.endedNs = sharedClockNs();
         --m_running;
         --m_runningByTeam[task.team];
         auto responder = std::exchange(task.responder, nullptr);
@@ -253,9 +265,12 @@
             { "refused_full", m_refusedFull }, { "started", m_order.size() }, { "reboots", m_reboots } };
         if (request.path == "/record") {
             auto ran = Json::array();
-            for (const auto& id : m_order)
-                ran.push_back({ { "task", id }, { "team", m_tasks[id].team }, { "body", m_tasks[id].body },
-                    { "state", static_cast<int>(m_tasks[id].state) } });
+            for (const auto& id : m_order) {
+                const auto& task = m_tasks[id];
+                ran.push_back({ { "task", id }, { "team", task.team }, { "body", task.body },
+                    { "state", static_cast<int>(task.state) }, { "started_ns", task.startedNs },
+                    { "ended_ns", task.endedNs } });
+            }
             body["ran"] = ran;
         }
         answer(responder, 200, body);
