Do not refuse a submission while a successor may have accepted a copy

Callers were told 429 ("not accepted and never runs") for a job that ran: a coordinator whose election lease had ended went on to refuse submissions whose record it could not store, at once or after 700 ms, although its successor may have accepted an earlier copy.

Cause: Coordinator::submit() and refuseUnsent() did not look at the election lease, unlike the cancelling of an unknown job. A negative answer about an id holds only while no other coordinator can have accepted the job.

Without a valid lease the reply is now NotStoredHere. It never tells the outcome of a call, so the caller gets 504 at the time at which it got 429 before, and comes again with the same id, at any instance. NotCoordinator was weighed: the entry instance would repeat the call every 40 ms for up to 2 s while the store is away, and would then say 503, which denies the job just the same.

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -86,8 +86,8 @@
 
     // Callers' calls.
     // Replies AlreadyCancelled if the job was cancelled before it arrived.
-    // Replies Refused if the job's record cannot be stored within the given time, in which the caller needs the reply.
-    // nullopt: no limit by the caller.
+    // Replies Refused if the job's record cannot be stored within the given time, in which the caller needs the reply,
+    // or NotStoredHere without a valid election lease. nullopt: no limit by the caller.
     void submit(CallToken, JobSpec, TimePoint now, std::optional<Duration> wait = std::nullopt, const CallOrigin& = {});
     // Replies UnknownJob once the id of a job that no coordinator has accepted is stored as cancelled, so that a
     // submission of it that arrives later is not accepted. Replies NotCancelled if the team has too many such ids.
@@ -177,6 +177,9 @@
     void batchStored(const JournalBatch&, TimePoint now);
     void releaseReplies(const JobId&, TimePoint now);
     void removeOldJobs(TimePoint now);
+    // The reply to a submission that is not stored and will not be: a refusal only if no successor can have accepted an
+    // earlier copy of it.
+    Reply notStored(TimePoint now) const;
     // Refuses submissions whose record could not be sent to the store in time, so that their callers can retry.
     void refuseUnsent(TimePoint now);
     // Time until a record that is queued now is stored, judged by the recent writes.
--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -371,6 +371,9 @@
             const auto& pending = found->second;
             const bool isOutcome = isConclusive(pending.request.kind, reply, pending.mayHaveTakenEffect);
             finish(id, { isOutcome ? CallResult::Kind::Answered : CallResult::Kind::Unknown, reply });
+            // The caller's next attempt may then reach a successor.
+            if (reply.kind == Reply::Kind::NotStoredHere)
+                queryPeers();
             return;
         }
         queryPeers();
--- a/include/marigoldlink/Entry/Orders.h
+++ b/include/marigoldlink/Entry/Orders.h
@@ -99,6 +99,7 @@
         NotCoordinator, // the call had no effect; another instance is the coordinator
         AlreadyCancelled, // not accepted: the job was cancelled before this submission of it arrived
         NotCancelled, // an unknown id that cannot be kept as cancelled; a submission of it may still be accepted
+        NotStoredHere, // to a submission: not accepted here; a successor may have accepted an earlier copy of it
     };
 
     Kind kind { Kind::NotCoordinator };
--- a/include/marigoldlink/Entry/PeerCalls.h
+++ b/include/marigoldlink/Entry/PeerCalls.h
@@ -18,7 +18,8 @@
 };
 
 // Whether the reply tells the outcome of a call of which an earlier attempt may have taken effect, or may still do so.
-// A refusal of a submission does not, since the earlier attempt may be accepted.
+// A refusal of a submission does not, since the earlier attempt may be accepted. A submission that was not stored by a
+// coordinator without a valid election lease has no known outcome at all.
 bool isConclusive(FleetCallRequest::Kind, const Reply&, bool mayHaveTakenEffect);
 
 std::string encodeCall(const FleetCallRequest&);
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -205,10 +205,10 @@
     const auto expected = expectedStoreTime(now);
     if (expected > limit) {
         logCall("submission", id,
-            "refused: record would be stored in " + std::to_string(expected.count()) + " ms, limit "
-                + std::to_string(limit.count()) + " ms",
+            std::string(isLeaseValid(now) ? "refused" : "not stored, not certain") + ": record would be stored in "
+                + std::to_string(expected.count()) + " ms, limit " + std::to_string(limit.count()) + " ms",
             origin, now);
-        m_orders.emplace_back(ReplyOrder { token, { Reply::Kind::Refused, {}, 0, s_storeRetryAfter } });
+        m_orders.emplace_back(ReplyOrder { token, notStored(now) });
         return;
     }
     const auto queue = queueOf(spec);
@@ -419,6 +419,14 @@
     return std::max(m_writeTime, age) * static_cast<std::int64_t>(m_journal.batchesUntilStored());
 }
 
+Reply Coordinator::notStored(TimePoint now) const
+{
+    // A refusal says that the job never runs.
+    if (!isLeaseValid(now))
+        return { Reply::Kind::NotStoredHere, {}, 0, {} };
+    return { Reply::Kind::Refused, {}, 0, s_storeRetryAfter };
+}
+
 void Coordinator::refuseUnsent(TimePoint now)
 {
     std::vector<JobId> late;
@@ -436,7 +444,9 @@
         const auto* job = m_jobs.find(id);
         if (!job->isActive() || !m_journal.cancelPut(records::job(id)))
             continue;
-        log("submission", id.value(), "refused: record could not be sent to the store in time");
+        log("submission", id.value(),
+            std::string(isLeaseValid(now) ? "refused" : "not stored, not certain")
+                + ": record could not be sent to the store in time");
         m_queuedVersions.erase(records::job(id));
         m_batchVersions.erase(records::job(id));
         m_unstoredJobs.erase(id);
@@ -444,7 +454,7 @@
         m_jobs.remove(id);
         if (const auto replies = m_replies.extract(id)) {
             for (const auto& pending : replies.mapped())
-                m_orders.emplace_back(ReplyOrder { pending.token, { Reply::Kind::Refused, {}, 0, s_storeRetryAfter } });
+                m_orders.emplace_back(ReplyOrder { pending.token, notStored(now) });
         }
     }
 }
--- a/lib/Entry/PeerCalls.cpp
+++ b/lib/Entry/PeerCalls.cpp
@@ -22,6 +22,8 @@
 
 bool isConclusive(FleetCallRequest::Kind kind, const Reply& reply, bool mayHaveTakenEffect)
 {
+    if (reply.kind == Reply::Kind::NotStoredHere)
+        return false;
     const bool isRefusedSubmission = kind == FleetCallRequest::Kind::Submit && reply.kind == Reply::Kind::Refused;
     return !isRefusedSubmission || !mayHaveTakenEffect;
 }
@@ -80,7 +82,7 @@
     wire::FleetReply wireReply;
     if (!decodePeer(bytes, wireReply))
         throw Error(ErrorKind::MalformedRequest, "reply from a peer does not parse");
-    return { checkedEnum(wireReply.kind, Reply::Kind::NotCancelled, "kind of a reply from a peer"),
+    return { checkedEnum(wireReply.kind, Reply::Kind::NotStoredHere, "kind of a reply from a peer"),
         checkedEnum(wireReply.state, JobState::Cancelled, "job state of a reply from a peer"), wireReply.waiting,
         Duration(wireReply.retryAfterMs) };
 }
--- a/unittests/Entry/FleetModelCalls.cpp
+++ b/unittests/Entry/FleetModelCalls.cpp
@@ -260,6 +260,13 @@
 void FleetModel::send(const NodePtr& node, const ReplyOrder& order)
 {
     if (m_calls.travel) {
+        const auto attempt = m_attempts.find(order.token);
+        if (attempt != m_attempts.end() && order.reply.kind == Reply::Kind::Refused) {
+            // The client has read the acceptance, so its coordinator and each successor know the job.
+            const auto& id = attempt->second.call->request.job.id;
+            if (m_accepted.contains(id))
+                recordViolation("REFUSED: " + id.value() + " is refused although it was accepted");
+        }
         replyToCall(node, order.token, order.reply, false);
         return;
     }
--- a/unittests/Entry/ForwardedCallsTest.cpp
+++ b/unittests/Entry/ForwardedCallsTest.cpp
@@ -40,7 +40,7 @@
             const auto attempt = attempts.size();
             attempts.push_back(responder);
             if (attempt >= unansweredAttempts)
-                responder->send({ 200, encodeReply({ Reply::Kind::Refused, {}, 0, {} }), "text/plain", {} });
+                responder->send({ 200, encodeReply({ replyKind, {}, 0, {} }), "text/plain", {} });
         }
 
         CallResult submit()
@@ -57,6 +57,7 @@
         ScriptedPlatform platform;
         std::vector<HttpResponderPtr> attempts;
         std::size_t unansweredAttempts { 0 };
+        Reply::Kind replyKind { Reply::Kind::Refused };
         HttpServer coordinator;
         FleetNode<ScriptedPlatform> node;
     };
@@ -68,6 +69,15 @@
         EXPECT_EQ(result.reply.kind, Reply::Kind::Refused);
     }
 
+    // Guards against callers that are told "never runs" by a former coordinator: the entry instance answers at once
+    // that the outcome is not known, so that the caller comes again.
+    TEST_F(ForwardedCalls, ASubmissionThatAFormerCoordinatorDidNotStoreHasNoKnownOutcome)
+    {
+        replyKind = Reply::Kind::NotStoredHere;
+        EXPECT_EQ(submit().kind, CallResult::Kind::Unknown);
+        EXPECT_EQ(attempts.size(), 1u);
+    }
+
     // Guards against jobs that run although their submission was refused: the first attempt had no answer and was
     // accepted after the second one had been refused.
     TEST_F(ForwardedCalls, ARefusalAfterAnUnansweredAttemptIsNotPassedOn)
--- a/unittests/Entry/SubmissionsTest.cpp
+++ b/unittests/Entry/SubmissionsTest.cpp
@@ -140,12 +140,53 @@
         const Reply refused { Reply::Kind::Refused, {}, 0, Duration(1000) };
         EXPECT_TRUE(isConclusive(Submit, refused, false));
         EXPECT_FALSE(isConclusive(Submit, refused, true));
+        EXPECT_FALSE(isConclusive(Submit, { Reply::Kind::NotStoredHere, {}, 0, {} }, false));
         for (const auto kind : { Reply::Kind::Accepted, Reply::Kind::AlreadyCancelled })
             EXPECT_TRUE(isConclusive(Submit, { kind, {}, 0, {} }, true));
         for (const auto kind : { Reply::Kind::Cancelled, Reply::Kind::UnknownJob, Reply::Kind::NotCancelled })
             EXPECT_TRUE(isConclusive(Cancel, { kind, {}, 0, {} }, true));
     }
 
+    // Guards against callers that are told "never runs" although their job runs: a former coordinator refused a
+    // submission after its election lease had ended, while its successor may have accepted an earlier copy.
+    TEST(Submissions, AreNotRefusedAtOnceWhileThereMayBeASuccessor)
+    {
+        CoordinatorHarness fleet;
+        fleet.begin({ "w1" });
+        fleet.coordinator.submit(CallToken(1), CoordinatorHarness::job("sent"), fleet.now);
+        fleet.run(Duration(800));
+        ASSERT_TRUE(fleet.batch) << "its write is in flight";
+        fleet.coordinator.setLeaseValidUntil(fleet.now + Duration(100));
+        fleet.coordinator.submit(CallToken(2), CoordinatorHarness::job("before"), fleet.now);
+        fleet.run(Duration(101));
+        fleet.coordinator.submit(CallToken(3), CoordinatorHarness::job("after"), fleet.now);
+        fleet.run(Duration(1));
+        ASSERT_THAT(fleet.replies, SizeIs(2));
+        EXPECT_EQ(fleet.replies[0].reply.kind, Reply::Kind::Refused);
+        EXPECT_EQ(fleet.replies[1].token, CallToken(3));
+        EXPECT_EQ(fleet.replies[1].reply.kind, Reply::Kind::NotStoredHere);
+    }
+
+    // Guards against the same for a submission that was taken while the lease was valid and could not be sent in time.
+    TEST(Submissions, AreNotRefusedForALateRecordWhileThereMayBeASuccessor)
+    {
+        CoordinatorHarness fleet;
+        fleet.begin({ "w1" });
+        fleet.coordinator.submit(CallToken(1), CoordinatorHarness::job("sent"), fleet.now);
+        fleet.run(Duration(20));
+        ASSERT_TRUE(fleet.batch) << "its write is in flight";
+        fleet.coordinator.setLeaseValidUntil(fleet.now + Duration(500));
+        fleet.coordinator.submit(CallToken(2), CoordinatorHarness::job("queued"), fleet.now);
+        fleet.run(Duration(900));
+        ASSERT_THAT(fleet.replies, SizeIs(1));
+        EXPECT_EQ(fleet.replies[0].token, CallToken(2));
+        EXPECT_EQ(fleet.replies[0].reply.kind, Reply::Kind::NotStoredHere);
+        // The record is withdrawn nevertheless: a copy that arrives later is a submission of its own.
+        fleet.answerJournal();
+        fleet.run(Duration(100));
+        EXPECT_FALSE(fleet.batch && !fleet.batch->puts.empty());
+    }
+
     TEST(Submissions, TheTimeOfTheSenderIsPartOfTheCall)
     {
         FleetCallRequest request { FleetCallRequest::Kind::Submit, CoordinatorHarness::job("a"), Duration(150) };
