Take an instance for gone only once lists over 2 s have left it out

A wave was reported complete although an instance of it had not been maintained (MIXED), and more instances were down than the wave allows (LIMIT), if one reading of the list of instances left an instance out.

Cause: MaintenancePlanner::updateCompletion() added an instance that the last list did not show to the finished ones, for good and in the stored record, and plan() dropped its call, which freed its place.

An instance now counts as gone while all lists asked for over 2 s have left it out. That is not recorded, and it is due again when it is back. Until then its call keeps its place, and is repeated only once the instance is listed.

--- a/include/marigoldlink/Coordination/MaintenancePlanner.h
+++ b/include/marigoldlink/Coordination/MaintenancePlanner.h
@@ -50,7 +50,11 @@
     void setWaves(const std::map<WaveId, MaintenanceWave>&);
     void restore(const WaveId&, std::set<std::string> finished);
 
-    // Chooses the instances to maintain now. Those that are still being drained are in reserved().
+    // A list of the instances was read, asked for at the given time. A list may leave out an instance that stays, and
+    // may be older than a wave, so an instance counts as gone only once the lists over some time have left it out.
+    void instancesListed(const std::map<std::string, FleetInstance>& instances, TimePoint askedAt);
+
+    // Chooses the instances to maintain now, given the last list. Those that are still being drained are in reserved().
     std::vector<MaintenanceStep> plan(
         const std::map<std::string, FleetInstance>& instances, const LoadOf&, TimePoint now);
 
@@ -81,8 +85,10 @@
     struct WaveState {
         MaintenanceWave wave;
         bool isRequested { false }; // operators request it now
-        // Instances whose maintenance for this wave was accepted, or that are no longer listed.
-        std::set<std::string> finished;
+        std::set<std::string> finished; // instances whose maintenance for this wave was accepted
+        // Instances that the last list left out, and when the first list in a row that left them out was asked for.
+        std::map<std::string, TimePoint> missingSince;
+        std::set<std::string> gone; // those that lists have left out for long enough
         bool isComplete { false };
         bool hasChanged { false };
     };
@@ -96,9 +102,10 @@
 
     int countUnderMaintenance(const WaveState&) const;
     bool isUnderMaintenanceFor(const WaveId&, const std::string& instance) const;
-    // Whether the call can have no further effect on the instance, which the list shows as up.
+    // Whether the call can have no further effect on the instance, which the list shows as up or leaves out.
     bool hasEnded(const MaintenanceCall&, TimePoint now) const;
-    void updateCompletion(const WaveId&, WaveState&, const std::map<std::string, FleetInstance>&);
+    void updateCompletion(const WaveId&, WaveState&);
+    bool isGone(const MaintenanceCall&, const std::string& instance) const;
 
     Limits m_limits;
     std::map<WaveId, WaveState> m_waves;
--- a/lib/Coordination/MaintenancePlanner.cpp
+++ b/lib/Coordination/MaintenancePlanner.cpp
@@ -12,6 +12,8 @@
     constexpr Duration s_retryDelay { 500 };
     // Maximum time by which the instance list lags behind an accepted call.
     constexpr Duration s_listLag { 300 };
+    // An instance that is left out by each list over this time is gone. Longer than a list can be old.
+    constexpr Duration s_goneAfter { 2000 };
 
 } // namespace
 
@@ -55,18 +57,38 @@
     return isWithdrawn && call.unansweredSentAt && now - *call.unansweredSentAt > longestEffect;
 }
 
-void MaintenancePlanner::updateCompletion(
-    const WaveId& id, WaveState& state, const std::map<std::string, FleetInstance>& instances)
+bool MaintenancePlanner::isGone(const MaintenanceCall& call, const std::string& instance) const
 {
-    for (const auto& instance : state.wave.instances) {
-        if (instances.contains(instance) || state.finished.contains(instance))
+    const auto wave = m_waves.find(call.wave);
+    return wave == m_waves.end() || wave->second.gone.contains(instance);
+}
+
+void MaintenancePlanner::instancesListed(const std::map<std::string, FleetInstance>& instances, TimePoint askedAt)
+{
+    for (auto& [id, state] : m_waves) {
+        state.gone.clear();
+        if (!state.isRequested || state.isComplete) {
+            state.missingSince.clear();
             continue;
-        state.finished.insert(instance);
-        state.hasChanged = true;
+        }
+        for (const auto& instance : state.wave.instances) {
+            if (instances.contains(instance)) {
+                state.missingSince.erase(instance);
+                continue;
+            }
+            const auto since = state.missingSince.emplace(instance, askedAt).first->second;
+            if (askedAt - since >= s_goneAfter)
+                state.gone.insert(instance);
+        }
     }
+}
+
+void MaintenancePlanner::updateCompletion(const WaveId& id, WaveState& state)
+{
     const bool isComplete
         = std::all_of(state.wave.instances.begin(), state.wave.instances.end(), [&](const std::string& instance) {
-              return state.finished.contains(instance) && !isUnderMaintenanceFor(id, instance);
+              return (state.finished.contains(instance) || state.gone.contains(instance))
+                  && !isUnderMaintenanceFor(id, instance);
           });
     if (isComplete && !state.isComplete) {
         state.isComplete = true;
@@ -84,13 +106,13 @@
     std::erase_if(m_underMaintenance, [&](const auto& entry) {
         const auto found = instances.find(entry.first);
         if (found == instances.end())
-            return true;
+            return hasEnded(entry.second, now) || isGone(entry.second, entry.first);
         return found->second.state == InstanceState::Up && hasEnded(entry.second, now);
     });
     for (auto& [id, state] : m_waves) {
         if (!state.isRequested || state.isComplete)
             continue;
-        updateCompletion(id, state, instances);
+        updateCompletion(id, state);
         struct Waiting {
             std::string instance;
             InstanceLoad load;
@@ -100,7 +122,8 @@
         for (const auto& instance : state.wave.instances) {
             const auto found = instances.find(instance);
             if (const auto call = m_underMaintenance.find(instance); call != m_underMaintenance.end()
-                && call->second.wave == id && call->second.retryAt && *call->second.retryAt <= now)
+                && call->second.wave == id && call->second.retryAt && *call->second.retryAt <= now
+                && found != instances.end())
                 steps.push_back({ id, state.wave.number, instance });
             if (state.finished.contains(instance) || m_underMaintenance.contains(instance) || found == instances.end()
                 || found->second.state != InstanceState::Up)
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -35,6 +35,7 @@
         const auto id = instance.id;
         m_instances.emplace(id, std::move(instance));
     }
+    m_waves.instancesListed(m_instances, m_listAskedAt);
     updateFleetBounds();
     resolveEndingWorkers(now);
     removeReplacedWorkers(now);
--- a/unittests/Coordination/MaintenancePlannerTest.cpp
+++ b/unittests/Coordination/MaintenancePlannerTest.cpp
@@ -53,8 +53,13 @@
     void sendPlannedCalls(MaintenancePlanner& plan, Fleet& fleet, Choices& choices, TimePoint now)
     {
         fleet.updateList(now);
+        auto listed = fleet.instances;
+        if (choices.below(8) == 7) // a list may leave out an instance
+            listed.erase(std::next(listed.begin(), static_cast<std::ptrdiff_t>(choices.below(listed.size()))));
+        if (!listed.empty())
+            plan.instancesListed(listed, now);
         const auto steps = plan.plan(
-            fleet.instances, [](const std::string&) { return InstanceLoad {}; }, now);
+            listed, [](const std::string&) { return InstanceLoad {}; }, now);
         for (const auto& step : steps) {
             plan.callSent(step.wave, step.instance, now);
             const auto outcome = choices.below(8);
@@ -190,6 +195,63 @@
     EXPECT_EQ(steps[0].wave, second);
 }
 
+// A wave must not wait for ever for an instance that is gone, nor be complete as long as one that stays may be missing
+// by chance.
+TEST(MaintenancePlanner, AnInstanceThatListsLeaveOutForLongIsGone)
+{
+    for (const bool comesBackOnce : { false, true }) {
+        Fleet fleet(2);
+        MaintenancePlanner plan({ Duration(2000), Duration(500) });
+        const auto load = [](const std::string&) { return InstanceLoad {}; };
+        TimePoint now { Duration(1000) };
+        plan.setWaves({ { s_wave, wave(2, 1) } });
+        ASSERT_EQ(plan.plan(fleet.instances, load, now)[0].instance, "i0");
+        plan.callSent(s_wave, "i0", now);
+        plan.callAccepted(s_wave, "i0", now);
+        auto without = fleet.instances;
+        without.erase("i1");
+        const auto missingFrom = now + Duration(500);
+        const auto backAt = missingFrom + Duration(1500);
+        std::optional<TimePoint> completeAt;
+        while (!completeAt && now < missingFrom + Duration(10000)) {
+            now += Duration(500);
+            const auto& listed = comesBackOnce && now == backAt ? fleet.instances : without;
+            plan.instancesListed(listed, now);
+            for (const auto& step : plan.plan(listed, load, now))
+                plan.callRejected(step.instance, now);
+            for (const auto& change : plan.takeChanges()) {
+                if (change.isComplete)
+                    completeAt = now;
+            }
+        }
+        ASSERT_TRUE(completeAt);
+        EXPECT_EQ(*completeAt, (comesBackOnce ? backAt + Duration(500) : missingFrom) + Duration(2000));
+    }
+}
+
+// The plan is made more often than lists are read: one list, however old, does not show that an instance is gone.
+TEST(MaintenancePlanner, OneListDoesNotShowThatAnInstanceIsGone)
+{
+    Fleet fleet(2);
+    MaintenancePlanner plan({ Duration(2000), Duration(500) });
+    const auto load = [](const std::string&) { return InstanceLoad {}; };
+    TimePoint now { Duration(1000) };
+    auto only = wave(2, 1);
+    only.instances = { "i1" };
+    plan.setWaves({ { s_wave, only } });
+    auto without = fleet.instances;
+    without.erase("i1");
+    plan.instancesListed(without, now);
+    for (int i = 0; i < 100; ++i) {
+        now += Duration(100);
+        EXPECT_TRUE(plan.plan(without, load, now).empty());
+        for (const auto& change : plan.takeChanges())
+            EXPECT_FALSE(change.isComplete);
+    }
+    plan.instancesListed(fleet.instances, now);
+    EXPECT_EQ(plan.plan(fleet.instances, load, now).size(), 1u);
+}
+
 TEST(MaintenancePlanner, WaitsForServicesThatCannotSpareATask)
 {
     Fleet fleet(1);
--- a/unittests/Entry/WavesTest.cpp
+++ b/unittests/Entry/WavesTest.cpp
@@ -115,6 +115,41 @@
         EXPECT_THAT(fleet.maintenance, SizeIs(2)) << "the maintenance is retried";
     }
 
+    // Guards against MIXED violations: an instance that one list left out counted as finished for good, so its wave was
+    // complete without its maintenance.
+    TEST_F(Waves, AnInstanceThatOneListLeavesOutIsMaintained)
+    {
+        fleet.coordinator.instancesListed({ instances[1] }, fleet.now);
+        beginWave();
+        pass(Duration(400), { "w1", "w2" });
+        ASSERT_THAT(fleet.maintenance, IsEmpty());
+        fleet.coordinator.instancesListed(instances, fleet.now);
+        pass(Duration(400), { "w1", "w2" });
+        ASSERT_THAT(fleet.maintenance, SizeIs(1));
+        EXPECT_EQ(fleet.maintenance[0].instance, "m-w1");
+    }
+
+    // Guards against LIMIT violations: an instance under maintenance that one list left out no longer counted as down.
+    TEST_F(Waves, AnInstanceUnderMaintenanceThatOneListLeavesOutKeepsItsPlace)
+    {
+        fleet.operators.waves[WaveId("1")].instances = { "m-w1", "m-w3" };
+        fleet.operators.waves[WaveId("1")].maxConcurrent = 1;
+        FleetInstance idle;
+        idle.id = "m-w3";
+        idle.pool = ServiceId("gates");
+        instances.push_back(idle);
+        fleet.coordinator.instancesListed(instances, fleet.now);
+        beginWave();
+        pass(Duration(400), { "w1", "w2" });
+        ASSERT_THAT(fleet.maintenance, SizeIs(1));
+        const auto first = fleet.maintenance[0].instance;
+        fleet.coordinator.instanceAnswered(first, InstanceAnswer::Done, fleet.now);
+        std::erase_if(instances, [&first](const FleetInstance& instance) { return instance.id == first; });
+        fleet.coordinator.instancesListed(instances, fleet.now);
+        pass(Duration(400), { "w1", "w2" });
+        EXPECT_THAT(fleet.maintenance, SizeIs(1)) << "its maintenance takes 2 s";
+    }
+
     // Guards against MIXED violations (review/5): maintenance for one wave ticked its instance off in all waves, so a
     // wave was complete although the instance was never maintained for it.
     TEST_F(Waves, AnInstanceInTwoWavesIsMaintainedForEach)
