Remove the two records of an ended job in one write

A later job with the id of an old one could be shown as ended without having run, or an old job could run again: its record and its progress were removed in two writes where a batch ended between them, and a coordinator that ended there left one of them to its successor. The same if a job was submitted while the removals of an old one with its id were queued, since new jobs come first; and a submission that was then refused took the removal of the old record with it.

A pair is not parted at the end of a batch.

--- a/include/marigoldlink/Coordination/Journal.h
+++ b/include/marigoldlink/Coordination/Journal.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,8 +67,12 @@
     // Queues a record. It replaces a queued record with the same key and then has the more urgent of the two classes.
     void put(const std::string& key, std::string value, RecordClass);
     void remove(const std::string& key);
+    // Removes two records in one write. If one of them is put again before, that record is written together with the
+    // removal of the other one.
+    void removeTogether(const std::string& first, const std::string& second);
 
-    // Removes a record that was not written and will not be. Returns false if it may be or may have been written.
+    // Removes a record that was not written and will not be, and queues the removal that it had replaced, if any.
+    // Returns false if it may be or may have been written.
     bool cancelPut(const std::string& key);
 
     // Returns the batch to send now, or nothing while a write is in flight or no record is queued. A batch that was
@@ -95,10 +100,14 @@
     struct QueuedRecord {
         std::optional<std::string> value; // empty: the key is removed
         RecordClass recordClass {};
+        bool hasReplacedRemoval { false }; // a put that replaced a queued removal
     };
     void enqueue(const std::string& key, QueuedRecord);
-    // Moves the oldest records of the class to the batch, at most `most` of them.
+    // Moves the oldest records of the class to the batch, about `most` of them. Records that go together are not
+    // parted.
     void moveToBatch(RecordClass, std::size_t most);
+    void moveToBatch(const std::string& key);
+    std::size_t batchRecords() const { return m_batch->puts.size() + m_batch->removals.size(); }
     std::optional<JournalBatch> completeBatch(Revision head);
 
     Revision m_head;
@@ -109,6 +118,8 @@
     // Keys by class, oldest first. Invariant: each key of m_queued is in the queue of its class. Keys that are not in
     // m_queued with that class are stale and skipped.
     std::array<std::deque<std::string>, recordClasses> m_keysByClass;
+    std::map<std::string, std::string> m_together; // queued records that go into one batch; both directions
+    std::set<std::string> m_removalsReplacedInBatch; // keys whose put in the batch had replaced a queued removal
     std::optional<JournalBatch> m_batch;
     bool m_isWriteInFlight { false };
     bool m_isOutcomeUnknown { false }; // at least one copy of the current batch had no answer
--- a/lib/Coordination/Journal.cpp
+++ b/lib/Coordination/Journal.cpp
@@ -28,10 +28,21 @@
 
 void Journal::remove(const std::string& key) { enqueue(key, { std::nullopt, RecordClass::Removal }); }
 
+void Journal::removeTogether(const std::string& first, const std::string& second)
+{
+    assert(first != second && "a record does not go together with itself");
+    assert(m_batchSize >= 2 && "both fit into a batch");
+    remove(first);
+    remove(second);
+    m_together[first] = second;
+    m_together[second] = first;
+}
+
 void Journal::enqueue(const std::string& key, QueuedRecord record)
 {
     const auto [position, isNew] = m_queued.try_emplace(key, record);
     auto& queued = position->second;
+    queued.hasReplacedRemoval = record.value && !isNew && (!queued.value || queued.hasReplacedRemoval);
     queued.value = std::move(record.value);
     if (!isNew && queued.recordClass <= record.recordClass)
         return;
@@ -43,21 +54,42 @@
 void Journal::moveToBatch(RecordClass recordClass, std::size_t most)
 {
     auto& keys = m_keysByClass[static_cast<std::size_t>(recordClass)];
-    for (std::size_t count = 0; count < most && !keys.empty();) {
-        const auto found = m_queued.find(keys.front());
+    for (const auto before = batchRecords(); batchRecords() - before < most && !keys.empty();) {
+        const auto key = keys.front();
+        const auto found = m_queued.find(key);
+        if (found == m_queued.end() || found->second.recordClass != recordClass) {
+            keys.pop_front();
+            continue;
+        }
+        const bool isPair = m_together.contains(key);
+        if (isPair && batchRecords() + 2 > m_batchSize)
+            return;
         keys.pop_front();
-        if (found == m_queued.end() || found->second.recordClass != recordClass)
+        moveToBatch(key);
+        if (!isPair)
             continue;
-        auto record = m_queued.extract(found);
-        m_queuedUrgent -= recordClass == RecordClass::Urgent;
-        if (record.mapped().value)
-            m_batch->puts.emplace_back(record.key(), std::move(*record.mapped().value));
-        else
-            m_batch->removals.push_back(record.key());
-        ++count;
+        const auto other = m_together.extract(key).mapped();
+        m_together.erase(other);
+        // A stale key would let a later record overtake the one that it must follow.
+        if (const auto otherClass = m_queued.at(other).recordClass; otherClass != RecordClass::Removal)
+            std::erase(m_keysByClass[static_cast<std::size_t>(otherClass)], other);
+        moveToBatch(other);
     }
 }
 
+void Journal::moveToBatch(const std::string& key)
+{
+    auto record = m_queued.extract(key);
+    assert(record && "a record that goes into the batch is queued");
+    m_queuedUrgent -= record.mapped().recordClass == RecordClass::Urgent;
+    if (record.mapped().hasReplacedRemoval)
+        m_removalsReplacedInBatch.insert(key);
+    if (record.mapped().value)
+        m_batch->puts.emplace_back(key, std::move(*record.mapped().value));
+    else
+        m_batch->removals.push_back(key);
+}
+
 bool Journal::cancelPut(const std::string& key)
 {
     const bool isSent = m_batch && (m_isWriteInFlight || m_isOutcomeUnknown);
@@ -66,11 +98,20 @@
         if (isSent)
             return false;
         std::erase_if(m_batch->puts, hasKey);
+        if (m_removalsReplacedInBatch.erase(key))
+            m_batch->removals.push_back(key);
         if (m_batch->puts.empty() && m_batch->removals.empty())
             m_batch.reset();
     }
-    if (const auto queued = m_queued.extract(key))
-        m_queuedUrgent -= queued.mapped().recordClass == RecordClass::Urgent;
+    if (const auto queued = m_queued.find(key); queued != m_queued.end()) {
+        if (queued->second.hasReplacedRemoval) {
+            queued->second.value.reset();
+            queued->second.hasReplacedRemoval = false;
+            return true;
+        }
+        m_queuedUrgent -= queued->second.recordClass == RecordClass::Urgent;
+        m_queued.erase(queued);
+    }
     return true;
 }
 
@@ -87,11 +128,10 @@
         if (m_queued.empty())
             return std::nullopt;
         m_batch = JournalBatch { ++m_number, m_head, {}, {} };
-        const auto size = [this] { return m_batch->puts.size() + m_batch->removals.size(); };
         moveToBatch(RecordClass::Urgent, urgentRecordsPerBatch());
         moveToBatch(RecordClass::Removal, removalsPerBatch());
         for (const auto recordClass : { RecordClass::Progress, RecordClass::Urgent, RecordClass::Removal })
-            moveToBatch(recordClass, m_batchSize - size());
+            moveToBatch(recordClass, m_batchSize - batchRecords());
     }
     m_isWriteInFlight = true;
     return m_batch;
@@ -135,6 +175,7 @@
     m_isOutcomeUnknown = false;
     auto stored = std::move(m_batch);
     m_batch.reset();
+    m_removalsReplacedInBatch.clear();
     return stored;
 }
 
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -470,8 +470,8 @@
             old.push_back(id);
     }
     for (const auto& id : old) {
-        m_journal.remove(records::job(id));
-        m_journal.remove(records::progress(id));
+        // A successor would take the progress for that of a later job with this id, or start the job again.
+        m_journal.removeTogether(records::job(id), records::progress(id));
         m_jobs.remove(id);
     }
     removeUnusedQueues(queues);
--- a/unittests/Coordination/JournalTest.cpp
+++ b/unittests/Coordination/JournalTest.cpp
@@ -104,6 +104,70 @@
         RC_ASSERT(service.records[name] == last);
 }
 
+// Guards against the progress of an old job that is taken for that of a later one with the same id, and against old
+// jobs without their progress. Jobs are submitted, progress, are withdrawn and removed in any order, and some ids are
+// used again at once.
+RC_GTEST_PROP(Journal, TheProgressOfAJobIsNeverStoredWithAnotherJob, ())
+{
+    auto choices = Choices::generate(50);
+    Service service;
+    Journal journal(service.head, 0, 2 + choices.below(7));
+    struct Job {
+        bool exists { false };
+        bool hasProgress { false };
+        int number { 0 };
+    };
+    std::map<std::string, Job> jobs;
+    const auto check = [&] {
+        for (const auto& [id, job] : jobs) {
+            const auto progress = service.records.find("progress" + id);
+            if (progress == service.records.end())
+                continue;
+            const auto record = service.records.find("job" + id);
+            RC_ASSERT(record != service.records.end());
+            RC_ASSERT(record->second == progress->second);
+        }
+    };
+    std::map<std::string, std::string> confirmed;
+    while (!choices.isOver()) {
+        const auto id = std::to_string(choices.below(5));
+        auto& job = jobs[id];
+        const auto choice = choices.below(4);
+        if (!job.exists) {
+            job = { true, false, job.number + 1 };
+            journal.put("job" + id, std::to_string(job.number), RecordClass::Urgent);
+        } else if (choice == 0) {
+            job.exists = false;
+            journal.removeTogether("job" + id, "progress" + id);
+        } else if (choice == 1 && !job.hasProgress && confirmed["job" + id] != std::to_string(job.number)) {
+            if (journal.cancelPut("job" + id))
+                job.exists = false;
+        } else {
+            job.hasProgress = true;
+            journal.put("progress" + id, std::to_string(job.number), RecordClass::Urgent);
+        }
+        journal.put("other" + std::to_string(choices.below(3)), "value", RecordClass(choices.below(recordClasses - 1)));
+        if (choices.below(3) == 0)
+            continue;
+        if (const auto batch = journal.next())
+            respond(journal, service, *batch, choices, confirmed);
+        check();
+    }
+    for (int i = 0; i < 100; ++i) {
+        if (const auto batch = journal.next()) {
+            const bool isApplied = service.apply(*batch);
+            journal.answered(isApplied ? JournalAnswer::Stored : JournalAnswer::Conflict, service.head);
+        }
+        if (journal.needsHeadRead())
+            journal.headRead(service.head, service.headNumber);
+        check();
+    }
+    for (const auto& [id, job] : jobs) {
+        RC_ASSERT(service.records.contains("job" + id) == job.exists);
+        RC_ASSERT(service.records.contains("progress" + id) == (job.exists && job.hasProgress));
+    }
+}
+
 TEST(Journal, ARecordIsWithdrawnOnlyIfItSurelyIsNotWritten)
 {
     Journal journal(Revision(1));
@@ -124,6 +188,26 @@
     EXPECT_FALSE(journal.cancelPut("b")) << "may still be written";
 }
 
+// Guards against old jobs that run again: the record of a job was about to be removed when a job with the same id was
+// submitted and then refused, so the record stayed without its progress.
+TEST(Journal, AWithdrawnRecordLeavesTheRemovalThatItReplaced)
+{
+    for (const bool isRefusedBefore : { false, true }) {
+        Journal journal(Revision(1));
+        journal.remove("job");
+        journal.put("job", "1", RecordClass::Urgent);
+        if (isRefusedBefore) {
+            ASSERT_TRUE(journal.next());
+            journal.answered(JournalAnswer::Refused, noRevision);
+        }
+        EXPECT_TRUE(journal.cancelPut("job"));
+        const auto batch = journal.next();
+        ASSERT_TRUE(batch);
+        EXPECT_TRUE(batch->puts.empty());
+        EXPECT_EQ(batch->removals, std::vector<std::string> { "job" });
+    }
+}
+
 TEST(Journal, ConflictWithoutUncertaintyMeansSuperseded)
 {
     Service service;
