Entry: repeat the stop of a cancelled task, and acknowledge its cancelling only once it does not run

A caller whose cancelling had been answered 200 could see the task run to its end, and its request answered "ok".

Cause: Dispatcher::cancel() ordered the worker to stop the task once, ignored whether the order arrived, and called back at once. A peer confirmed the cancelling of a forwarded request in the same way.

The stop is now repeated, 200 ms (jittered) after each unsuccessful one, until the worker has confirmed it, the lease has expired at the worker, or the end of the task is known. Resolving a lost start repeats its stop with the same period, so each task has one order under way. The cancelling, also the peer's confirmation, waits for the same. The entry instance waits as it does for the peer of a forwarded request, and as the platform's design does, instead of an answer "not certain": the caller bounds its wait by its own timeout, and may cancel again.

Three process tests: with dropped stops, with a frozen worker, and with dropped stops at the worker of a peer.

ATaskOfALostWorkerIsNotStartedElsewhere expected the 200 within 2 s of the loss of the worker, while the lease of the task (3 s, longer with unanswered renewals) could still be valid. It now waits for the same status until the lease has expired; what it checks besides is unchanged.

--- a/test/CancelTest.cpp
+++ b/test/CancelTest.cpp
@@ -1,4 +1,4 @@
-// Cancelling at an entry instance: once it has answered that the request was found, no task of it is started any more.
+// Cancelling at an entry instance: once it has answered that the request was found, no task of it runs or is started.
 #include "Cluster.h"
 
 #include <algorithm>
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr Duration s_restartTime { 2000 };
+    // Several times the timeout and the retry period of an order to stop, and less than a worker's lease.
+    constexpr Duration s_unconfirmedTime { 2500 };
     // Longer than the lease of a lost worker may last with all unanswered renewals, and a task after it.
     constexpr Duration s_answerTime { 25000 };
 
@@ -32,13 +34,15 @@
         }
 
         // Submits at the first entry instance. The result is "ok", or the error and the run state, and empty before.
-        std::shared_ptr<std::string> submit(const std::string& id, bool isIdempotent, Duration work = Duration(6000))
+        std::shared_ptr<std::string> submit(const std::string& id, bool isIdempotent, Duration work = Duration(6000),
+            Duration deadline = Duration(30000))
         {
             auto outcome = std::make_shared<std::string>();
             const Json body { { "id", id }, { "work_ms", work.count() } };
             HttpCall call { "POST", "/v1/queues/normal/tasks", body.dump(), {}, Duration(30000) };
             call.headers = { { "authorization", "Bearer " + m_key }, { "x-request-id", id },
-                { "x-idempotent", isIdempotent ? "true" : "false" } };
+                { "x-idempotent", isIdempotent ? "true" : "false" },
+                { "x-deadline-ms", std::to_string(deadline.count()) } };
             m_cluster->client.send(m_cluster->entries[0].endpoint, call, [outcome](const HttpResult& result) {
                 const auto json = Json::parse(result.body, nullptr, false);
                 *outcome = result.isOk() ? "ok"
@@ -57,6 +61,56 @@
                 .status;
         }
 
+        // Cancels without waiting for the answer. The result is its status, and empty before.
+        std::shared_ptr<std::optional<int>> beginCancel(const std::string& id)
+        {
+            auto status = std::make_shared<std::optional<int>>();
+            const auto target = "/v1/requests/" + id + "/cancel";
+            m_cluster->client.send(m_cluster->entries[0].endpoint,
+                { "POST", target, {}, { { "authorization", "Bearer " + m_key } }, s_answerTime },
+                [status](const HttpResult& result) { *status = result.status; });
+            return status;
+        }
+
+        void waitForStatus(const std::optional<int>& status)
+        {
+            m_cluster->waitUntil(
+                "the cancelling is answered", [&] { return status.has_value(); }, s_answerTime);
+        }
+
+        // Takes the data centre of the first entry instance out of service, so that it forwards.
+        void startForwarding()
+        {
+            auto options = smallCluster();
+            options.dataCenters = { "one", "two" };
+            start(options);
+            ASSERT_EQ(m_cluster->runMarigoldctl({ "dc", "out", "one" }).first, 0);
+            m_cluster->waitUntil(
+                "the entry instance forwards", [&] { return m_cluster->status(0).value("data_center_out", false); });
+        }
+
+        void setFault(const Cluster::WorkerProcess& worker, const std::string& mode)
+        {
+            const auto target = "/fault?mode=" + mode;
+            const auto result = m_cluster->call(worker.endpoints[0], { "POST", target, {}, {}, Duration(2000) });
+            ASSERT_EQ(result.status, 200);
+        }
+
+        // Cancels the request, whose task runs, while its worker drops the orders to stop it.
+        void cancelWhileStopsAreDropped(const std::string& id)
+        {
+            auto& worker = usedWorker();
+            setFault(worker, "drop-stop");
+            const auto status = beginCancel(id);
+            m_cluster->runFor(s_unconfirmedTime);
+            EXPECT_FALSE(status->has_value()) << "answered with " << status->value_or(0) << " before the task ended";
+            EXPECT_EQ(m_cluster->countRunningTasks("red"), 1);
+            setFault(worker, "ok");
+            waitForStatus(*status);
+            EXPECT_EQ(*status, 200);
+            EXPECT_EQ(m_cluster->countRunningTasks("red"), 0);
+        }
+
         // Number of tasks of the request that were started at any worker.
         int starts(const std::string& id)
         {
@@ -116,8 +170,10 @@
     waitForStart("a");
     usedWorker().process.kill();
     m_cluster->runFor(Duration(300));
-    EXPECT_EQ(cancel("a"), 200);
+    const auto status = beginCancel("a");
     waitForOutcome(*outcome);
+    waitForStatus(*status);
+    EXPECT_EQ(*status, 200);
     EXPECT_EQ(*outcome, "worker-lost/unknown");
     EXPECT_EQ(starts("a"), 0) << "tasks at the other worker";
 }
@@ -214,4 +270,48 @@
     EXPECT_EQ(m_cluster->countRunningTasks("red"), 0);
 }
 
+// One lost order to stop let the task run on after its cancelling had been acknowledged.
+TEST_F(Cancel, ALostStopIsRepeatedBeforeTheAcknowledgement)
+{
+    start(smallCluster());
+    const auto outcome = submit("a", true, Duration(12000));
+    waitForStart("a");
+    cancelWhileStopsAreDropped("a");
+    waitForOutcome(*outcome);
+    EXPECT_EQ(*outcome, "worker-lost/unknown");
+    EXPECT_EQ(starts("a"), 1);
+}
+
+// Cancelling was acknowledged while a frozen worker still held the lease of the task.
+TEST_F(Cancel, ATaskOfAFrozenWorkerHasEndedBeforeTheAcknowledgement)
+{
+    start(smallCluster());
+    const auto outcome = submit("a", true, Duration(20000));
+    waitForStart("a");
+    auto& worker = usedWorker();
+    worker.process.signal(SIGSTOP);
+    const auto status = beginCancel("a");
+    m_cluster->runFor(s_unconfirmedTime);
+    EXPECT_FALSE(status->has_value()) << "answered with " << status->value_or(0) << " within the lease";
+    waitForStatus(*status);
+    EXPECT_EQ(*status, 200);
+    worker.process.signal(SIGCONT);
+    waitForOutcome(*outcome);
+    EXPECT_EQ(*outcome, "worker-lost/unknown");
+    EXPECT_EQ(starts("a"), 1);
+    EXPECT_EQ(m_cluster->countRunningTasks("red"), 0);
+}
+
+// A peer confirmed a cancelling although the order to stop its task had been lost.
+TEST_F(Cancel, APeerConfirmsOnlyOnceItsTaskIsStopped)
+{
+    startForwarding();
+    const auto outcome = submit("a", true, Duration(12000));
+    waitForStart("a");
+    cancelWhileStopsAreDropped("a");
+    waitForOutcome(*outcome);
+    EXPECT_EQ(*outcome, "worker-lost/unknown");
+    EXPECT_EQ(starts("a"), 1);
+}
+
 } // namespace marigoldlink::testing
--- a/tools/marigold-entry/Dispatcher.cpp
+++ b/tools/marigold-entry/Dispatcher.cpp
@@ -17,7 +17,7 @@
     constexpr Duration s_activeTeamRetention { 5000 };
     constexpr Duration s_shareUpdatePeriod { 100 };
     constexpr Duration s_refusedStartBackoff { 20 };
-    constexpr Duration s_resolveRetryDelay { 200 };
+    constexpr Duration s_stopRetryDelay { 200 };
     // Added to the timeout of a started task, so that the deadline of the caller expires before the task times out.
     constexpr Duration s_taskTimeoutMargin { 250 };
     // Requests forwarded by a peer are returned to it when they are not started within this time.
@@ -361,7 +361,7 @@
             finishLostStart(ticket, result);
             return;
         }
-        m_loop.after(jittered(s_resolveRetryDelay), [this, ticket, since] { resolveLostStart(ticket, since); });
+        m_loop.after(jittered(s_stopRetryDelay), [this, ticket, since] { resolveLostStart(ticket, since); });
     });
 }
 
@@ -451,6 +451,7 @@
     assert(!job.escrow && "the start must be released before its request finishes");
     if (job.onDone)
         job.onDone(std::move(outcome));
+    confirmStop(job);
 }
 
 void Dispatcher::cancel(QueueTicket ticket, const std::function<void()>& onCancelled)
@@ -461,16 +462,50 @@
         return;
     }
     auto& job = found->second;
-    job.isCancelled = true;
+    const bool wasCancelled = std::exchange(job.isCancelled, true);
     if (job.phase == Job::Phase::Forwarded) {
         m_peers.cancelForwarded(*job.forward, onCancelled);
         return;
     }
+    if (job.isStopConfirmed) {
+        onCancelled();
+        return;
+    }
+    job.onStopped.push_back(onCancelled);
     if (job.phase == Job::Phase::Queued)
         finishQueued(ticket, ErrorKind::Cancelled);
-    else if (job.phase == Job::Phase::Running)
-        m_workers.stop(job.link->record.endpoint, job.task, [](StopResult) {});
-    onCancelled();
+    else if (job.phase == Job::Phase::Running && !wasCancelled)
+        repeatStop(ticket);
+}
+
+// Stops the running task of a cancelled request until the worker has confirmed it or the lease has expired there. If
+// the response to the start is lost meanwhile, resolveLostStart() goes on.
+void Dispatcher::repeatStop(QueueTicket ticket)
+{
+    const auto found = m_jobs.find(number(ticket));
+    if (found == m_jobs.end() || found->second.phase != Job::Phase::Running)
+        return;
+    auto& job = found->second;
+    if (m_leases.hasExpiredAtWorker(*job.link, job.lease)) {
+        confirmStop(job);
+        return;
+    }
+    m_workers.stop(job.link->record.endpoint, job.task, [this, ticket](StopResult result) {
+        if (result == StopResult::Unreachable) {
+            m_loop.after(jittered(s_stopRetryDelay), [this, ticket] { repeatStop(ticket); });
+            return;
+        }
+        const auto stopped = m_jobs.find(number(ticket));
+        if (stopped != m_jobs.end())
+            confirmStop(stopped->second);
+    });
+}
+
+void Dispatcher::confirmStop(Job& job)
+{
+    job.isStopConfirmed = true;
+    for (const auto& onStopped : std::exchange(job.onStopped, {}))
+        onStopped();
 }
 
 void Dispatcher::handleDeadline(QueueTicket ticket)
--- a/tools/marigold-entry/Dispatcher.h
+++ b/tools/marigold-entry/Dispatcher.h
@@ -26,7 +26,7 @@
     virtual std::optional<HolderId> selectPeer(const PoolId&, const TeamId&, bool isBelowLimit) const = 0;
     virtual ForwardId forward(HolderId, const JobRequest&, Duration remaining, std::function<void(JobOutcome)>) = 0;
     // Tells the peer that the request is cancelled. Calls back once the peer has confirmed it or has answered the
-    // request. From then on the peer does not start it.
+    // request. From then on the peer neither runs nor starts it.
     virtual void cancelForwarded(ForwardId, std::function<void()>) = 0;
 };
 
@@ -48,7 +48,8 @@
 
     // Cancels a request, which is not started again: a queued request is answered with "cancelled", a running task is
     // stopped, and a peer that has it is told to do the same.
-    // Calls back once neither this process nor the peer starts the request any more, which may be within the call.
+    // Calls back once no task of the request runs or is started any more, which may be within the call. An order to
+    // stop that is lost is repeated.
     void cancel(QueueTicket, const std::function<void()>& onCancelled);
 
     // Starts or forwards queued requests as far as slots and escrow allow, and preempts deferrable tasks for urgent
@@ -78,6 +79,8 @@
     void handleTaskResult(QueueTicket, TaskResult);
     void resolveLostStart(QueueTicket, TimePoint since);
     void finishLostStart(QueueTicket, StopResult);
+    void repeatStop(QueueTicket);
+    static void confirmStop(Job&);
     void releaseStart(Job&);
     void requeue(QueueTicket);
     void retryOrFail(QueueTicket, ErrorKind);
--- a/tools/marigold-entry/Entry.cpp
+++ b/tools/marigold-entry/Entry.cpp
@@ -66,7 +66,9 @@
         [this](JobRequest request, std::function<void(JobOutcome)> onDone) {
             return m_callers->runForwarded(std::move(request), std::move(onDone));
         },
-        [this](QueueTicket ticket) { m_dispatcher->cancel(ticket, [] {}); },
+        [this](QueueTicket ticket, const std::function<void()>& onCancelled) {
+            m_dispatcher->cancel(ticket, onCancelled);
+        },
         [this](const Claim& claim) { return m_callers->attemptOutcome(claim); },
         [this] { m_dispatcher->dispatchQueued(); } });
     m_loop.every(s_baselineSyncPeriod, [this] { syncNextTeam(); });
--- a/tools/marigold-entry/Job.h
+++ b/tools/marigold-entry/Job.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <optional>
+#include <vector>
 
 namespace marigoldlink {
 
@@ -51,6 +52,10 @@
     bool isCheckpointRequested { false };
     // Set once the request was cancelled. From then on it must not be started again.
     bool isCancelled { false };
+    // Set once the task of a cancelled request is known not to run any more.
+    bool isStopConfirmed { false };
+    // Called once the task of a cancelled request is known not to run any more.
+    std::vector<std::function<void()>> onStopped;
     // State of the current start:
     TaskId task;
     WorkerLinkPtr link;
--- a/tools/marigold-entry/PeerLink.h
+++ b/tools/marigold-entry/PeerLink.h
@@ -30,7 +30,7 @@
     struct Hooks {
         std::function<void(wire::Heartbeat&)> fillLoad;
         std::function<std::variant<QueueTicket, ErrorKind>(JobRequest, std::function<void(JobOutcome)>)> runForwarded;
-        std::function<void(QueueTicket)> cancel;
+        std::function<void(QueueTicket, const std::function<void()>& onCancelled)> cancel;
         std::function<AttemptOutcome(const Claim&)> attemptOutcome;
         std::function<void()> onChange;
     };
@@ -117,7 +117,7 @@
     void serveHandover(const std::string& body, HttpResponder&);
     void serveOutcome(const std::string& body, HttpResponder&);
     void serveForward(const std::string& body, HttpResponderPtr);
-    void serveForwardCancel(const std::string& body, HttpResponder&);
+    void serveForwardCancel(const std::string& body, const HttpResponderPtr&);
 
     EventLoop& m_loop;
     HttpClient& m_client;
--- a/tools/marigold-entry/PeerServing.cpp
+++ b/tools/marigold-entry/PeerServing.cpp
@@ -46,7 +46,7 @@
     else if (path == "forward")
         serveForward(body, std::move(responder));
     else if (path == "forward-cancel")
-        serveForwardCancel(body, *responder);
+        serveForwardCancel(body, responder);
     else
         replyMalformed(*responder);
 }
@@ -178,19 +178,19 @@
         m_received[id] = std::get<QueueTicket>(result);
 }
 
-void PeerLink::serveForwardCancel(const std::string& body, HttpResponder& responder)
+void PeerLink::serveForwardCancel(const std::string& body, const HttpResponderPtr& responder)
 {
     wire::ForwardCancel message;
     if (!decodePeer(body, message)) {
-        replyMalformed(responder);
+        replyMalformed(*responder);
         return;
     }
     const auto found
         = m_received.find({ HolderId(static_cast<std::uint64_t>(message.sender)), ForwardId(message.call) });
-    const bool isFound = found != m_received.end();
-    if (isFound)
-        m_hooks.cancel(found->second);
-    responder.send({ isFound ? 200 : 404, {}, "text/plain", {} });
+    if (found != m_received.end())
+        m_hooks.cancel(found->second, [responder] { responder->send({ 200, {}, "text/plain", {} }); });
+    else
+        responder->send({ 404, {}, "text/plain", {} });
 }
 
 } // namespace marigoldlink
--- a/tools/marigold-worker-stub/main.cpp
+++ b/tools/marigold-worker-stub/main.cpp
@@ -1,8 +1,8 @@
 // Worker stub for tests and the demo: runs tasks under leases and records which tasks ran.
 //
 // One process can emulate several workers, each on its own port. The body of a task may be a JSON object with its run
-// time in "work_ms". POST /fault?mode=ok|fail|drop-start|drop-answer sets the injected fault of a worker:
-// drop-start drops the request, drop-answer drops the response after the task ran.
+// time in "work_ms". POST /fault?mode=ok|fail|drop-start|drop-answer|drop-stop sets the injected fault of a worker:
+// drop-start drops the request, drop-answer drops the response after the task ran, drop-stop drops orders to stop.
 #include "marigoldlink/Protocol/RecordCodec.h"
 #include "marigoldlink/Support/Log.h"
 #include "marigoldlink/Transport/HttpClient.h"
@@ -71,9 +71,9 @@
         else if (path.starts_with("/holder/"))
             answerHolder(std::stoull("0" + path.substr(8)), *responder);
         else if (path.starts_with("/task/") && path.ends_with("/stop"))
-            stopTask(path.substr(6, path.size() - 11), false, *responder);
+            stopTask(path.substr(6, path.size() - 11), false, responder);
         else if (path.starts_with("/task/") && path.ends_with("/checkpoint"))
-            stopTask(path.substr(6, path.size() - 17), true, *responder);
+            stopTask(path.substr(6, path.size() - 17), true, responder);
         else if (path.starts_with("/task/"))
             startTask(path.substr(6), request, std::move(responder));
         else
@@ -211,8 +211,12 @@
             responder->send({ status, std::move(body), "application/json", {} });
     }
 
-    void stopTask(const std::string& id, bool isCheckpoint, HttpResponder& responder)
+    void stopTask(const std::string& id, bool isCheckpoint, const HttpResponderPtr& responder)
     {
+        if (m_fault == "drop-stop") {
+            m_heldResponders.push_back(responder);
+            return;
+        }
         auto [it, isNew] = m_tasks.try_emplace(id);
         auto& task = it->second;
         if (isNew) {
@@ -226,7 +230,7 @@
         static const std::map<TaskState, const char*> names { { TaskState::Finished, "finished" },
             { TaskState::Failed, "finished" }, { TaskState::Stopped, "stopped" },
             { TaskState::NeverStarted, "never" } };
-        answer(responder, 200, { { "state", names.at(task.state) } });
+        answer(*responder, 200, { { "state", names.at(task.state) } });
     }
 
     void evictOldRecords(const std::string& id)
