PeerLink: a forward whose connection was lost does not count as ended

A caller whose cancelling had been answered 200 could see a peer start the task afterwards, or run on with it.

Cause: PeerLink::forward() took the loss of the connection for the end of the forwarded request and acknowledged its cancelling. The peer may not have read the request yet, or may run it. Of a request that was forwarded again, the Dispatcher knew and cancelled only the last forward. A peer also answers "worker-lost" at the deadline of a request whose task may still run (found by reading, no test).

A peer that does not know the request, since it has ended or has not arrived, remembers the cancelling for longer than the longest deadline, and refuses the request if it arrives. Before, it answered 404, which could not be told from "has ended".

--- a/test/CancelTest.cpp
+++ b/test/CancelTest.cpp
@@ -314,4 +314,66 @@
     EXPECT_EQ(starts("a"), 1);
 }
 
+// A forward that a frozen peer had not read counted as ended once its connection was lost, and was started afterwards.
+TEST_F(Cancel, AnUnreadForwardIsNotStartedAfterTheAcknowledgement)
+{
+    startForwarding();
+    // Once a request was answered, the peer is known to have capacity.
+    const auto earlier = submit("earlier", true, Duration(1));
+    waitForOutcome(*earlier);
+    m_cluster->entries[1].process.signal(SIGSTOP);
+    const auto outcome = submit("a", true, Duration(6000), Duration(1000));
+    m_cluster->runFor(Duration(200));
+    const auto status = beginCancel("a");
+    waitForOutcome(*outcome);
+    EXPECT_EQ(*outcome, "worker-lost/unknown");
+    m_cluster->runFor(Duration(200));
+    const bool wasEarly = status->has_value();
+    m_cluster->entries[1].process.signal(SIGCONT);
+    waitForStatus(*status);
+    EXPECT_EQ(*status, 200);
+    const auto startsBefore = wasEarly ? 0 : starts("a");
+    EXPECT_TRUE(wasEarly || m_cluster->countRunningTasks("red") == 0);
+    m_cluster->runFor(Duration(1000));
+    EXPECT_EQ(starts("a"), startsBefore) << "started after the acknowledgement";
+}
+
+// A removed peer counts as having ended its forwards: it would start one that it reads once it has joined again.
+TEST_F(Cancel, ARemovedPeerStartsNothingOnceItJoinsAgain)
+{
+    startForwarding();
+    const auto earlier = submit("earlier", true, Duration(1));
+    waitForOutcome(*earlier);
+    m_cluster->entries[1].process.signal(SIGSTOP);
+    const auto outcome = submit("a", true, Duration(6000), Duration(1000));
+    m_cluster->runFor(Duration(200));
+    const auto status = beginCancel("a");
+    m_cluster->waitUntil(
+        "the peer is removed", [&] { return m_cluster->status(0).value("members", 0U) == 1; }, s_answerTime);
+    waitForStatus(*status);
+    EXPECT_EQ(*status, 200);
+    m_cluster->entries[1].process.signal(SIGCONT);
+    m_cluster->waitUntil("the peer joins again", [&] { return m_cluster->status(0).value("members", 0U) == 2; });
+    m_cluster->runFor(s_restartTime);
+    EXPECT_EQ(*outcome, "worker-lost/unknown");
+    EXPECT_EQ(starts("a"), 0);
+}
+
+// Of a request that was forwarded again after a lost connection, only the last forward was cancelled.
+TEST_F(Cancel, EveryForwardOfARequestIsCancelled)
+{
+    startForwarding();
+    const auto outcome = submit("a", true);
+    waitForStart("a");
+    m_cluster->entries[1].relay->closeConnections();
+    m_cluster->waitUntil("the request is forwarded again", [&] { return starts("a") >= 2; });
+    EXPECT_EQ(m_cluster->countRunningTasks("red"), starts("a"));
+    const auto status = beginCancel("a");
+    waitForStatus(*status);
+    EXPECT_EQ(*status, 200);
+    EXPECT_EQ(m_cluster->countRunningTasks("red"), 0);
+    waitForOutcome(*outcome);
+    EXPECT_EQ(*outcome, "worker-lost/unknown");
+}
+
 } // namespace marigoldlink::testing
--- a/test/Relay.cpp
+++ b/test/Relay.cpp
@@ -93,6 +93,7 @@
 
 void Relay::serve(int downstream)
 {
+    const int closings = m_closings;
     Endpoint target;
     {
         const std::lock_guard lock(m_mutex);
@@ -106,7 +107,7 @@
     bool isOpen = ::connect(upstream, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
     std::string sender;
     std::vector<char> buffer(65536);
-    while (isOpen && !m_isStopping) {
+    while (isOpen && !m_isStopping && m_closings == closings) {
         if (isPartitioned(sender)) {
             ::usleep(s_pollMilliseconds * 1000);
             continue;
--- a/test/Relay.h
+++ b/test/Relay.h
@@ -25,6 +25,9 @@
     // either direction.
     void setPartitionedDataCenters(std::set<std::string> dataCenters);
 
+    // Closes the connections that are open now. Later ones are relayed.
+    void closeConnections() { ++m_closings; }
+
 private:
     void accept();
     void serve(int downstream);
@@ -36,6 +39,7 @@
     Endpoint m_target;
     std::set<std::string> m_partitionedDataCenters;
     std::atomic<bool> m_isStopping { false };
+    std::atomic<int> m_closings { 0 }; // a connection ends once this has grown since its start
     std::thread m_acceptThread;
     std::vector<std::thread> m_connectionThreads; // modified only by the accept thread while it runs
 };
--- a/tools/marigold-entry/Dispatcher.cpp
+++ b/tools/marigold-entry/Dispatcher.cpp
@@ -408,8 +408,10 @@
     job.phase = Job::Phase::Forwarded;
     const auto remaining = std::max(Duration(1), job.request.deadline - m_loop.now());
     m_metrics.countForward();
-    job.forward = m_peers.forward(peer, job.request, remaining, [this, ticket](JobOutcome outcome) {
+    job.forwards.push_back(m_peers.forward(peer, job.request, remaining, [this, ticket](JobOutcome outcome) {
         auto& job = m_jobs.at(number(ticket));
+        if (outcome.error != ErrorKind::WorkerLost)
+            job.forwards.pop_back();
         job.mayHaveRun |= !outcome.isNotRun();
         const bool mayTryAgain = outcome.isNotRun() || (job.request.isIdempotent && outcome.error);
         if (mayTryAgain && m_loop.now() < job.request.deadline && job.onDone && !job.isCancelled) {
@@ -421,7 +423,7 @@
             finish(ticket, std::move(outcome));
         }
         dispatchQueued();
-    });
+    }));
 }
 
 void Dispatcher::returnToPeer(QueueTicket ticket)
@@ -451,6 +453,8 @@
     assert(!job.escrow && "the start must be released before its request finishes");
     if (job.onDone)
         job.onDone(std::move(outcome));
+    for (const auto forward : job.forwards)
+        m_peers.releaseForwarded(forward);
     confirmStop(job);
 }
 
@@ -463,15 +467,19 @@
     }
     auto& job = found->second;
     const bool wasCancelled = std::exchange(job.isCancelled, true);
-    if (job.phase == Job::Phase::Forwarded) {
-        m_peers.cancelForwarded(*job.forward, onCancelled);
-        return;
-    }
-    if (job.isStopConfirmed) {
-        onCancelled();
+    // One for the start by this process, and one for each forwarding.
+    const auto open = std::make_shared<std::size_t>(1 + job.forwards.size());
+    const auto release = [open, onCancelled] {
+        if (--*open == 0)
+            onCancelled();
+    };
+    for (const auto forward : job.forwards)
+        m_peers.cancelForwarded(forward, release);
+    if (job.phase == Job::Phase::Forwarded || job.isStopConfirmed) {
+        release();
         return;
     }
-    job.onStopped.push_back(onCancelled);
+    job.onStopped.emplace_back(release);
     if (job.phase == Job::Phase::Queued)
         finishQueued(ticket, ErrorKind::Cancelled);
     else if (job.phase == Job::Phase::Running && !wasCancelled)
--- a/tools/marigold-entry/Dispatcher.h
+++ b/tools/marigold-entry/Dispatcher.h
@@ -25,9 +25,11 @@
     // The latter is considered only if the team runs below its limit.
     virtual std::optional<HolderId> selectPeer(const PoolId&, const TeamId&, bool isBelowLimit) const = 0;
     virtual ForwardId forward(HolderId, const JobRequest&, Duration remaining, std::function<void(JobOutcome)>) = 0;
-    // Tells the peer that the request is cancelled. Calls back once the peer has confirmed it or has answered the
-    // request. From then on the peer neither runs nor starts it.
+    // Tells the peer that the request is cancelled, until the peer has confirmed it, has answered the request or is no
+    // member any more. Calls back then: the peer neither runs nor starts the request any more.
     virtual void cancelForwarded(ForwardId, std::function<void()>) = 0;
+    // The request has ended here and is not cancelled any more.
+    virtual void releaseForwarded(ForwardId) = 0;
 };
 
 class Dispatcher {
@@ -47,9 +49,8 @@
     std::optional<QueueTicket> submit(JobRequest, std::function<void(JobOutcome)>);
 
     // Cancels a request, which is not started again: a queued request is answered with "cancelled", a running task is
-    // stopped, and a peer that has it is told to do the same.
-    // Calls back once no task of the request runs or is started any more, which may be within the call. An order to
-    // stop that is lost is repeated.
+    // stopped, and each peer that may have it is told to do the same. What is lost is repeated.
+    // Calls back once no task of the request runs or is started any more, which may be within the call.
     void cancel(QueueTicket, const std::function<void()>& onCancelled);
 
     // Starts or forwards queued requests as far as slots and escrow allow, and preempts deferrable tasks for urgent
--- a/tools/marigold-entry/Job.h
+++ b/tools/marigold-entry/Job.h
@@ -61,7 +61,8 @@
     WorkerLinkPtr link;
     LeaseId lease;
     std::shared_ptr<EscrowHolder> escrow;
-    std::optional<ForwardId> forward; // the last forwarding
+    // The open forwarding and those that ended with WorkerLost, which a peer may still run or start.
+    std::vector<ForwardId> forwards;
 };
 
 // Error with which a request ends when it is not started again.
--- a/tools/marigold-entry/PeerCalls.cpp
+++ b/tools/marigold-entry/PeerCalls.cpp
@@ -44,7 +44,7 @@
     --peer.freeSlots[request.pool];
     --peer.teams[request.team].idleEscrow;
     const ForwardId id { m_nextForward++ };
-    m_forwardings[id] = { m_membership.self(), to, {} };
+    m_forwardings[id] = { .sender = m_membership.self(), .receiver = to };
     wire::ForwardCall call;
     call.sender = static_cast<std::int64_t>(number(m_membership.self()));
     call.call = static_cast<std::int64_t>(id);
@@ -55,14 +55,14 @@
     call.isIdempotent = request.isIdempotent;
     call.checkpoint = request.checkpoint;
     const auto onAnswer = [this, id, callback = std::move(callback)](const HttpResult& result) {
-        const auto forwarding = m_forwardings.extract(id);
-        for (const auto& onCancelled : forwarding.mapped().onCancelled)
-            m_loop.post(onCancelled);
-        if (result.kind == HttpResult::Kind::NotSent) {
+        const bool isNotSent = result.kind == HttpResult::Kind::NotSent;
+        auto answer = parse<wire::ForwardReply>(result);
+        // The peer also answers WorkerLost at the deadline of a request whose task may still run.
+        endForward(id, isNotSent || (answer && answer->errorName != errorInfo(ErrorKind::WorkerLost).name));
+        if (isNotSent) {
             callback({ ErrorKind::NoCapacity, {} });
             return;
         }
-        auto answer = parse<wire::ForwardReply>(result);
         if (!answer) {
             callback({ ErrorKind::WorkerLost, {} });
             return;
@@ -79,12 +79,31 @@
 void PeerLink::cancelForwarded(ForwardId id, std::function<void()> onCancelled)
 {
     const auto found = m_forwardings.find(id);
-    if (found == m_forwardings.end()) {
+    if (found == m_forwardings.end() || found->second.isCancelConfirmed) {
         onCancelled();
         return;
     }
     found->second.onCancelled.push_back(std::move(onCancelled));
-    sendForwardCancel(id);
+    if (!std::exchange(found->second.isCancelling, true))
+        sendForwardCancel(id);
+}
+
+void PeerLink::releaseForwarded(ForwardId id)
+{
+    const auto found = m_forwardings.find(id);
+    if (found != m_forwardings.end() && found->second.isUnknown && !found->second.isCancelling)
+        m_forwardings.erase(found);
+}
+
+void PeerLink::endForward(ForwardId id, bool isRequestEnded)
+{
+    auto& forwarding = m_forwardings.at(id);
+    forwarding.isUnknown = true;
+    if (!isRequestEnded && !forwarding.isCancelConfirmed)
+        return;
+    for (const auto& onCancelled : forwarding.onCancelled)
+        m_loop.post(onCancelled);
+    m_forwardings.erase(id);
 }
 
 void PeerLink::sendForwardCancel(ForwardId id)
@@ -92,23 +111,35 @@
     const auto found = m_forwardings.find(id);
     if (found == m_forwardings.end())
         return;
+    // A member is removed only once all its leases on workers have expired.
+    if (!m_membership.record().find(found->second.receiver)) {
+        confirmForwardCancel(id);
+        return;
+    }
     wire::ForwardCancel message;
     message.sender = static_cast<std::int64_t>(number(found->second.sender));
     message.call = static_cast<std::int64_t>(id);
     send(found->second.receiver, "forward-cancel", message, peerCallTimeout, [this, id](const HttpResult& result) {
-        const auto forwarding = m_forwardings.find(id);
-        if (forwarding == m_forwardings.end())
-            return;
-        if (!result.isOk()) {
-            // The peer refuses while the forwarded request itself has not arrived.
+        if (result.isOk())
+            confirmForwardCancel(id);
+        else
             m_loop.after(jittered(s_cancelRetryDelay), [this, id] { sendForwardCancel(id); });
-            return;
-        }
-        for (const auto& onCancelled : std::exchange(forwarding->second.onCancelled, {}))
-            onCancelled();
     });
 }
 
+void PeerLink::confirmForwardCancel(ForwardId id)
+{
+    const auto found = m_forwardings.find(id);
+    if (found == m_forwardings.end())
+        return;
+    found->second.isCancelConfirmed = true;
+    const auto callbacks = std::exchange(found->second.onCancelled, {});
+    if (found->second.isUnknown)
+        m_forwardings.erase(found);
+    for (const auto& onCancelled : callbacks)
+        onCancelled();
+}
+
 void PeerLink::claim(const Claim& claim, std::function<void(ClaimReplyResult)> callback)
 {
     const auto ownerId = owner(claim.request);
--- a/tools/marigold-entry/PeerLink.cpp
+++ b/tools/marigold-entry/PeerLink.cpp
@@ -18,6 +18,8 @@
     constexpr int s_reachabilityPeriods = 5;
     // A new member waits at most this long for each other member to respond before it serves requests.
     constexpr Duration s_configComparisonTimeout { 1500 };
+    // Longer than the longest deadline that the settings allow, after which the sender gives the request up.
+    constexpr Duration s_forwardRetention { 660000 };
 
 } // namespace
 
@@ -38,7 +40,13 @@
 {
     m_hooks = std::move(hooks);
     m_loop.every(m_heartbeat, [this] { sendHeartbeats(); });
-    m_loop.every(Duration(1000), [this] { m_ledger.evictExpired(m_loop.now()); });
+    m_loop.every(Duration(1000), [this] {
+        m_ledger.evictExpired(m_loop.now());
+        const auto oldest = m_loop.now() - s_forwardRetention;
+        std::erase_if(m_received,
+            [oldest](const auto& item) { return item.second.answeredAt && *item.second.answeredAt < oldest; });
+        std::erase_if(m_cancelledBeforeArrival, [oldest](const auto& item) { return item.second < oldest; });
+    });
 }
 
 void PeerLink::reset()
--- a/tools/marigold-entry/PeerLink.h
+++ b/tools/marigold-entry/PeerLink.h
@@ -71,6 +71,7 @@
     std::optional<HolderId> selectPeer(const PoolId&, const TeamId&, bool isBelowLimit) const override;
     ForwardId forward(HolderId, const JobRequest&, Duration remaining, std::function<void(JobOutcome)>) override;
     void cancelForwarded(ForwardId, std::function<void()>) override;
+    void releaseForwarded(ForwardId) override;
 
 private:
     struct Peer {
@@ -109,7 +110,9 @@
     bool isFresh(const Peer&) const;
     void aggregatePeerLoads();
 
+    void endForward(ForwardId, bool isRequestEnded);
     void sendForwardCancel(ForwardId);
+    void confirmForwardCancel(ForwardId);
     void serveHeartbeat(const std::string& body, HttpResponder&);
     void serveConfig(const std::string& body, HttpResponder&);
     void serveClaim(const std::string& body, HttpResponder&);
@@ -132,16 +135,26 @@
     std::map<TeamId, Slots> m_runningOnPeers;
     std::set<TeamId> m_teamsLackingEscrow;
     std::size_t m_nextRemotePeer { 0 };
-    // Requests forwarded to a peer that has not answered yet.
+    // A request forwarded to a peer that has not reported its end.
     struct Forwarding {
         HolderId sender; // holder id of this process when it forwarded
         HolderId receiver;
+        // The call has ended without the end of the request. The peer may run or start it nevertheless.
+        bool isUnknown { false };
+        bool isCancelling { false };
+        bool isCancelConfirmed { false };
         std::vector<std::function<void()>> onCancelled;
     };
     std::map<ForwardId, Forwarding> m_forwardings;
     std::uint64_t m_nextForward { 1 };
-    // Requests forwarded by peers that this process has not answered yet.
-    std::map<std::pair<HolderId, ForwardId>, QueueTicket> m_received;
+    struct ReceivedForward {
+        QueueTicket ticket {};
+        std::optional<TimePoint> answeredAt;
+    };
+    // Requests forwarded by peers. One that was answered with WorkerLost, whose task may run, is kept for a while.
+    std::map<std::pair<HolderId, ForwardId>, ReceivedForward> m_received;
+    // Cancelled requests that were not in m_received, by the time of the cancelling. They are refused if they arrive.
+    std::map<std::pair<HolderId, ForwardId>, TimePoint> m_cancelledBeforeArrival;
     int m_pendingHandovers { 0 };
     bool m_isConfigCompared { false };
 };
--- a/tools/marigold-entry/PeerServing.cpp
+++ b/tools/marigold-entry/PeerServing.cpp
@@ -164,18 +164,25 @@
     request.deadline = m_loop.now() + Duration(call.remainingMs);
     const std::pair id(HolderId(static_cast<std::uint64_t>(call.sender)), ForwardId(call.call));
     const auto answer = [this, id, responder](JobOutcome outcome) {
-        m_received.erase(id);
+        if (outcome.error == ErrorKind::WorkerLost)
+            m_received[id].answeredAt = m_loop.now();
+        else
+            m_received.erase(id);
         wire::ForwardReply message;
         if (outcome.error)
             message.errorName = errorInfo(*outcome.error).name;
         message.body = std::move(outcome.body);
         reply(*responder, message);
     };
+    if (m_cancelledBeforeArrival.contains(id)) {
+        answer({ ErrorKind::Cancelled, {} });
+        return;
+    }
     const auto result = m_hooks.runForwarded(std::move(request), answer);
     if (const auto* refusal = std::get_if<ErrorKind>(&result))
         answer({ *refusal, {} });
     else
-        m_received[id] = std::get<QueueTicket>(result);
+        m_received[id] = { std::get<QueueTicket>(result), std::nullopt };
 }
 
 void PeerLink::serveForwardCancel(const std::string& body, const HttpResponderPtr& responder)
@@ -185,12 +192,16 @@
         replyMalformed(*responder);
         return;
     }
-    const auto found
-        = m_received.find({ HolderId(static_cast<std::uint64_t>(message.sender)), ForwardId(message.call) });
-    if (found != m_received.end())
-        m_hooks.cancel(found->second, [responder] { responder->send({ 200, {}, "text/plain", {} }); });
-    else
-        responder->send({ 404, {}, "text/plain", {} });
+    const std::pair id(HolderId(static_cast<std::uint64_t>(message.sender)), ForwardId(message.call));
+    const auto confirm = [responder] { responder->send({ 200, {}, "text/plain", {} }); };
+    const auto found = m_received.find(id);
+    if (found != m_received.end()) {
+        m_hooks.cancel(found->second.ticket, confirm);
+        return;
+    }
+    // The request has ended, or it has not arrived yet.
+    m_cancelledBeforeArrival[id] = m_loop.now();
+    confirm();
 }
 
 } // namespace marigoldlink
