--- a/tools/marigold-entry/Dispatcher.cpp
+++ b/tools/marigold-entry/Dispatcher.cpp
@@ -17,7 +17,7 @@
     constexpr Duration s_activeTeamRetention { 5000 };
     constexpr Duration s_shareUpdatePeriod { 100 };
     constexpr Duration s_refusedStartBackoff { 20 };
-    constexpr Duration s_resolveRetryDelay { 200 };
+    constexpr Duration s_stopRetryDelay { 200 };
     // Added to the timeout of a started task, so that the deadline of the caller expires before the task times out.
     constexpr Duration s_taskTimeoutMargin { 250 };
     // Requests forwarded by a peer are returned to it when they are not started within this time.
@@ -361,7 +361,7 @@
             finishLostStart(ticket, result);
             return;
         }
-        m_loop.after(jittered(s_resolveRetryDelay), [this, ticket, since] { resolveLostStart(ticket, since); });
+        m_loop.after(jittered(s_stopRetryDelay), [this, ticket, since] { resolveLostStart(ticket, since); });
     });
 }
 
@@ -408,8 +408,10 @@
     job.phase = Job::Phase::Forwarded;
     const auto remaining = std::max(Duration(1), job.request.deadline - m_loop.now());
     m_metrics.countForward();
-    job.forward = m_peers.forward(peer, job.request, remaining, [this, ticket](JobOutcome outcome) {
+    job.forwards.push_back(m_peers.forward(peer, job.request, remaining, [this, ticket](JobOutcome outcome) {
         auto& job = m_jobs.at(number(ticket));
+        if (outcome.error != ErrorKind::WorkerLost)
+            job.forwards.pop_back();
         job.mayHaveRun |= !outcome.isNotRun();
         const bool mayTryAgain = outcome.isNotRun() || (job.request.isIdempotent && outcome.error);
         if (mayTryAgain && m_loop.now() < job.request.deadline && job.onDone && !job.isCancelled) {
@@ -421,7 +423,7 @@
             finish(ticket, std::move(outcome));
         }
         dispatchQueued();
-    });
+    }));
 }
 
 void Dispatcher::returnToPeer(QueueTicket ticket)
@@ -451,6 +453,9 @@
     assert(!job.escrow && "the start must be released before its request finishes");
     if (job.onDone)
         job.onDone(std::move(outcome));
+    for (const auto forward : job.forwards)
+        m_peers.releaseForwarded(forward);
+    confirmStop(job);
 }
 
 void Dispatcher::cancel(QueueTicket ticket, const std::function<void()>& onCancelled)
@@ -461,16 +466,54 @@
         return;
     }
     auto& job = found->second;
-    job.isCancelled = true;
-    if (job.phase == Job::Phase::Forwarded) {
-        m_peers.cancelForwarded(*job.forward, onCancelled);
+    const bool wasCancelled = std::exchange(job.isCancelled, true);
+    // One for the start by this process, and one for each forwarding.
+    const auto open = std::make_shared<std::size_t>(1 + job.forwards.size());
+    const auto release = [open, onCancelled] {
+        if (--*open == 0)
+            onCancelled();
+    };
+    for (const auto forward : job.forwards)
+        m_peers.cancelForwarded(forward, release);
+    if (job.phase == Job::Phase::Forwarded || job.isStopConfirmed) {
+        release();
         return;
     }
+    job.onStopped.emplace_back(release);
     if (job.phase == Job::Phase::Queued)
         finishQueued(ticket, ErrorKind::Cancelled);
-    else if (job.phase == Job::Phase::Running)
-        m_workers.stop(job.link->record.endpoint, job.task, [](StopResult) {});
-    onCancelled();
+    else if (job.phase == Job::Phase::Running && !wasCancelled)
+        repeatStop(ticket);
+}
+
+// Stops the running task of a cancelled request until the worker has confirmed it or the lease has expired there. If
+// the response to the start is lost meanwhile, resolveLostStart() goes on.
+void Dispatcher::repeatStop(QueueTicket ticket)
+{
+    const auto found = m_jobs.find(number(ticket));
+    if (found == m_jobs.end() || found->second.phase != Job::Phase::Running)
+        return;
+    auto& job = found->second;
+    if (m_leases.hasExpiredAtWorker(*job.link, job.lease)) {
+        confirmStop(job);
+        return;
+    }
+    m_workers.stop(job.link->record.endpoint, job.task, [this, ticket](StopResult result) {
+        if (result == StopResult::Unreachable) {
+            m_loop.after(jittered(s_stopRetryDelay), [this, ticket] { repeatStop(ticket); });
+            return;
+        }
+        const auto stopped = m_jobs.find(number(ticket));
+        if (stopped != m_jobs.end())
+            confirmStop(stopped->second);
+    });
+}
+
+void Dispatcher::confirmStop(Job& job)
+{
+    job.isStopConfirmed = true;
+    for (const auto& onStopped : std::exchange(job.onStopped, {}))
+        onStopped();
 }
 
 void Dispatcher::handleDeadline(QueueTicket ticket)
--- a/tools/marigold-entry/Job.h
+++ b/tools/marigold-entry/Job.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <optional>
+#include <vector>
 
 namespace marigoldlink {
 
@@ -51,12 +52,17 @@
     bool isCheckpointRequested { false };
     // Set once the request was cancelled. From then on it must not be started again.
     bool isCancelled { false };
+    // Set once the task of a cancelled request is known not to run any more.
+    bool isStopConfirmed { false };
+    // Called once the task of a cancelled request is known not to run any more.
+    std::vector<std::function<void()>> onStopped;
     // State of the current start:
     TaskId task;
     WorkerLinkPtr link;
     LeaseId lease;
     std::shared_ptr<EscrowHolder> escrow;
-    std::optional<ForwardId> forward; // the last forwarding
+    // The open forwarding and those that ended with WorkerLost, which a peer may still run or start.
+    std::vector<ForwardId> forwards;
 };
 
 // Error with which a request ends when it is not started again.
--- a/tools/marigold-entry/PeerServing.cpp
+++ b/tools/marigold-entry/PeerServing.cpp
@@ -46,7 +46,7 @@
     else if (path == "forward")
         serveForward(body, std::move(responder));
     else if (path == "forward-cancel")
-        serveForwardCancel(body, *responder);
+        serveForwardCancel(body, responder);
     else
         replyMalformed(*responder);
 }
@@ -164,33 +164,44 @@
     request.deadline = m_loop.now() + Duration(call.remainingMs);
     const std::pair id(HolderId(static_cast<std::uint64_t>(call.sender)), ForwardId(call.call));
     const auto answer = [this, id, responder](JobOutcome outcome) {
-        m_received.erase(id);
+        if (outcome.error == ErrorKind::WorkerLost)
+            m_received[id].answeredAt = m_loop.now();
+        else
+            m_received.erase(id);
         wire::ForwardReply message;
         if (outcome.error)
             message.errorName = errorInfo(*outcome.error).name;
         message.body = std::move(outcome.body);
         reply(*responder, message);
     };
+    if (m_cancelledBeforeArrival.contains(id)) {
+        answer({ ErrorKind::Cancelled, {} });
+        return;
+    }
     const auto result = m_hooks.runForwarded(std::move(request), answer);
     if (const auto* refusal = std::get_if<ErrorKind>(&result))
         answer({ *refusal, {} });
     else
-        m_received[id] = std::get<QueueTicket>(result);
+        m_received[id] = { std::get<QueueTicket>(result), std::nullopt };
 }
 
-void PeerLink::serveForwardCancel(const std::string& body, HttpResponder& responder)
+void PeerLink::serveForwardCancel(const std::string& body, const HttpResponderPtr& responder)
 {
     wire::ForwardCancel message;
     if (!decodePeer(body, message)) {
-        replyMalformed(responder);
+        replyMalformed(*responder);
+        return;
+    }
+    const std::pair id(HolderId(static_cast<std::uint64_t>(message.sender)), ForwardId(message.call));
+    const auto confirm = [responder] { responder->send({ 200, {}, "text/plain", {} }); };
+    const auto found = m_received.find(id);
+    if (found != m_received.end()) {
+        m_hooks.cancel(found->second.ticket, confirm);
         return;
     }
-    const auto found
-        = m_received.find({ HolderId(static_cast<std::uint64_t>(message.sender)), ForwardId(message.call) });
-    const bool isFound = found != m_received.end();
-    if (isFound)
-        m_hooks.cancel(found->second);
-    responder.send({ isFound ? 200 : 404, {}, "text/plain", {} });
+    // The request has ended, or it has not arrived yet.
+    m_cancelledBeforeArrival[id] = m_loop.now();
+    confirm();
 }
 
 } // namespace marigoldlink
