Tests: a failed comparison with the workers' records tells how their processes are

The picture is that of a worker process whose record is not read: the four workers of a data centre are one process, it runs 18 to 20 requests before it is frozen and none in the rest of the test. Change: the message names the state of each process of worker stubs (ended by a signal, exited, stopped, running) and its output, so that the next failure tells these apart. With the process ended on purpose, the message says "ended by signal 9". The check itself is unchanged.

--- a/test/AtMostOnceTest.cpp
+++ b/test/AtMostOnceTest.cpp
@@ -73,7 +73,7 @@
         cluster.runFor(Duration(5000));
         cluster.entries[1].process.signal(SIGCONT);
     });
-    EXPECT_TRUE(report.isClean) << report.json.dump(2);
+    EXPECT_TRUE(report.isClean) << report.json.dump(2) << cluster.describeWorkers();
     EXPECT_GT(answered(report), 300U) << report.json.dump(2);
 }
 
@@ -90,7 +90,7 @@
         for (std::size_t i = 0; i < 3; ++i)
             cluster.call(cluster.workers[i].endpoints[0], { "POST", "/fault?mode=ok", {}, {}, Duration(1000) });
     });
-    EXPECT_TRUE(report.isClean) << report.json.dump(2);
+    EXPECT_TRUE(report.isClean) << report.json.dump(2) << cluster.describeWorkers();
     EXPECT_GT(answered(report), 250U) << report.json.dump(2);
 }
 
@@ -103,7 +103,7 @@
         cluster.runFor(Duration(5000));
         cluster.workers[0].process.signal(SIGCONT);
     });
-    EXPECT_TRUE(report.isClean) << report.json.dump(2);
+    EXPECT_TRUE(report.isClean) << report.json.dump(2) << cluster.describeWorkers();
     EXPECT_GT(answered(report), 200U) << report.json.dump(2);
 }
 
@@ -118,7 +118,7 @@
         cluster.runFor(Duration(4000));
         cluster.heal();
     });
-    EXPECT_TRUE(report.isClean) << report.json.dump(2);
+    EXPECT_TRUE(report.isClean) << report.json.dump(2) << cluster.describeWorkers();
     EXPECT_GT(answered(report), 300U) << report.json.dump(2);
 }
 
@@ -130,7 +130,7 @@
     Cluster cluster(options);
     const auto report
         = runLoadWithFaults(cluster, { flow("open", 400, 300), flow("open", 200, 1) }, Duration(4000), [] {});
-    EXPECT_TRUE(report.isClean) << report.json.dump(2);
+    EXPECT_TRUE(report.isClean) << report.json.dump(2) << cluster.describeWorkers();
     EXPECT_GT(answered(report), 1500U) << report.json.dump(2);
 }
 
--- a/test/Cluster.cpp
+++ b/test/Cluster.cpp
@@ -90,6 +90,23 @@
     return std::nullopt;
 }
 
+std::string Process::state() const
+{
+    if (m_pid < 0)
+        return "ended by the test";
+    siginfo_t info {};
+    // WNOWAIT leaves the process waitable, so that kill() and waitForExit() still find it.
+    if (::waitid(P_PID, static_cast<id_t>(m_pid), &info, WEXITED | WSTOPPED | WNOHANG | WNOWAIT) != 0)
+        return "not a child";
+    if (info.si_pid == 0)
+        return "running";
+    if (info.si_code == CLD_EXITED)
+        return "exited with " + std::to_string(info.si_status);
+    if (info.si_code == CLD_STOPPED)
+        return "stopped";
+    return "ended by signal " + std::to_string(info.si_status);
+}
+
 std::string Process::log() const { return readAll(m_logFile); }
 
 std::vector<std::string> Process::waitForLines(const std::string& word, std::size_t count) const
@@ -359,6 +376,18 @@
     return all;
 }
 
+std::string Cluster::describeWorkers() const
+{
+    std::ostringstream text;
+    for (const auto& worker : workers) {
+        text << "\nworkers of " << worker.dataCenter << ": " << worker.process.state();
+        for (const auto& endpoint : worker.endpoints)
+            text << ' ' << endpoint.text();
+        text << '\n' << worker.process.log();
+    }
+    return text.str();
+}
+
 Slots Cluster::countRunningTasks(const std::string& team)
 {
     Slots sum = 0;
--- a/test/Cluster.h
+++ b/test/Cluster.h
@@ -32,6 +32,8 @@
     void kill();
     // Waits for the process to exit. Returns its exit code, -1 if a signal ended it, or nothing on a timeout.
     std::optional<int> waitForExit(Duration);
+    // "running", "stopped", "exited with CODE", "ended by signal NUMBER" or "ended by the test".
+    std::string state() const;
     std::string log() const;
     double cpuSeconds() const;
     std::int64_t residentKilobytes() const;
@@ -85,6 +87,8 @@
     Slots countRunningTasks(const std::string& team);
     // Endpoints of all worker stubs.
     std::vector<Endpoint> workerEndpoints() const;
+    // State and output of each process of worker stubs, for the message of a failed test.
+    std::string describeWorkers() const;
     Load::Options load(std::vector<Flow>, Duration) const;
 
     struct EntryProcess {
