--- a/lib/Coordination/Journal.cpp
+++ b/lib/Coordination/Journal.cpp
@@ -103,7 +103,8 @@
         if (m_batch->puts.empty() && m_batch->removals.empty())
             m_batch.reset();
     }
-    if (const auto queued = m_queued.find(key); queued != m_queued.end()) {
+    // A queued removal is no put and stays.
+    if (const auto queued = m_queued.find(key); queued != m_queued.end() && queued->second.value) {
         if (queued->second.hasReplacedRemoval) {
             queued->second.value.reset();
             queued->second.hasReplacedRemoval = false;
--- a/unittests/Coordination/JournalTest.cpp
+++ b/unittests/Coordination/JournalTest.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <list>
 #include <rapidcheck/gtest.h>
+#include <set>
 
 namespace marigoldlink::testing {
 
@@ -208,6 +209,26 @@
     }
 }
 
+// Guards against orphaned records: a job was refused whose record was not queued yet, beside the removals of an old job
+// with the same id. That took one of the removals away, and the journal expected both.
+TEST(Journal, AWithdrawalLeavesQueuedRemovals)
+{
+    for (const int putsBefore : { 0, 1, 2 }) {
+        Journal journal(Revision(1));
+        journal.removeTogether("job", "progress");
+        for (int i = 0; i < putsBefore; ++i) {
+            journal.put("job", "1", RecordClass::Urgent);
+            EXPECT_TRUE(journal.cancelPut("job"));
+        }
+        EXPECT_TRUE(journal.cancelPut("job"));
+        const auto batch = journal.next();
+        ASSERT_TRUE(batch);
+        EXPECT_TRUE(batch->puts.empty());
+        EXPECT_EQ(std::set<std::string>(batch->removals.begin(), batch->removals.end()),
+            (std::set<std::string> { "job", "progress" }));
+    }
+}
+
 TEST(Journal, ConflictWithoutUncertaintyMeansSuperseded)
 {
     Service service;
