--- a/include/marigoldlink/Coordination/MaintenancePlanner.h
+++ b/include/marigoldlink/Coordination/MaintenancePlanner.h
@@ -82,12 +82,16 @@
     std::vector<Change> takeChanges();
 
 private:
+    // The lists in a row that left an instance out.
+    struct Absence {
+        TimePoint since; // when the first one was asked for
+        int lists { 0 };
+    };
     struct WaveState {
         MaintenanceWave wave;
         bool isRequested { false }; // operators request it now
         std::set<std::string> finished; // instances whose maintenance for this wave was accepted
-        // Instances that the last list left out, and when the first list in a row that left them out was asked for.
-        std::map<std::string, TimePoint> missingSince;
+        std::map<std::string, Absence> missing; // instances that the last list left out
         std::set<std::string> gone; // those that lists have left out for long enough
         bool isComplete { false };
         bool hasChanged { false };
--- a/lib/Coordination/MaintenancePlanner.cpp
+++ b/lib/Coordination/MaintenancePlanner.cpp
@@ -14,6 +14,8 @@
     constexpr Duration s_listLag { 300 };
     // An instance that is left out by each list over this time is gone. Longer than a list can be old.
     constexpr Duration s_goneAfter { 2000 };
+    // Least number of these lists, as readings of the list may fail for longer.
+    constexpr int s_goneAfterLists = 3;
 
 } // namespace
 
@@ -60,7 +62,10 @@
 bool MaintenancePlanner::isGone(const MaintenanceCall& call, const std::string& instance) const
 {
     const auto wave = m_waves.find(call.wave);
-    return wave == m_waves.end() || wave->second.gone.contains(instance);
+    if (wave == m_waves.end() || wave->second.gone.contains(instance))
+        return true;
+    const auto& listed = wave->second.wave.instances;
+    return std::find(listed.begin(), listed.end(), instance) == listed.end();
 }
 
 void MaintenancePlanner::instancesListed(const std::map<std::string, FleetInstance>& instances, TimePoint askedAt)
@@ -68,16 +73,17 @@
     for (auto& [id, state] : m_waves) {
         state.gone.clear();
         if (!state.isRequested || state.isComplete) {
-            state.missingSince.clear();
+            state.missing.clear();
             continue;
         }
         for (const auto& instance : state.wave.instances) {
             if (instances.contains(instance)) {
-                state.missingSince.erase(instance);
+                state.missing.erase(instance);
                 continue;
             }
-            const auto since = state.missingSince.emplace(instance, askedAt).first->second;
-            if (askedAt - since >= s_goneAfter)
+            auto& absence = state.missing.try_emplace(instance, Absence { askedAt }).first->second;
+            ++absence.lists;
+            if (askedAt - absence.since >= s_goneAfter && absence.lists >= s_goneAfterLists)
                 state.gone.insert(instance);
         }
     }
@@ -105,8 +111,9 @@
         return steps;
     std::erase_if(m_underMaintenance, [&](const auto& entry) {
         const auto found = instances.find(entry.first);
+        // An accepted call has an end of its own. Until then the instance may be down and come back.
         if (found == instances.end())
-            return hasEnded(entry.second, now) || isGone(entry.second, entry.first);
+            return hasEnded(entry.second, now) || (!entry.second.isAccepted && isGone(entry.second, entry.first));
         return found->second.state == InstanceState::Up && hasEnded(entry.second, now);
     });
     for (auto& [id, state] : m_waves) {
--- a/unittests/Coordination/MaintenancePlannerTest.cpp
+++ b/unittests/Coordination/MaintenancePlannerTest.cpp
@@ -252,6 +252,56 @@
     EXPECT_EQ(plan.plan(fleet.instances, load, now).size(), 1u);
 }
 
+// Guards against waves that are complete too early: readings of the list may fail for longer than an instance must be
+// left out.
+TEST(MaintenancePlanner, TwoListsFarApartDoNotShowThatAnInstanceIsGone)
+{
+    Fleet fleet(2);
+    MaintenancePlanner plan({ Duration(2000), Duration(500) });
+    const auto load = [](const std::string&) { return InstanceLoad {}; };
+    TimePoint now { Duration(1000) };
+    auto only = wave(2, 1);
+    only.instances = { "i1" };
+    plan.setWaves({ { s_wave, only } });
+    auto without = fleet.instances;
+    without.erase("i1");
+    for (int i = 0; i < 2; ++i) {
+        plan.instancesListed(without, now);
+        EXPECT_TRUE(plan.plan(without, load, now).empty());
+        for (const auto& change : plan.takeChanges())
+            EXPECT_FALSE(change.isComplete);
+        now += Duration(5000);
+    }
+    plan.instancesListed(fleet.instances, now);
+    EXPECT_EQ(plan.plan(fleet.instances, load, now).size(), 1u);
+}
+
+// Guards against LIMIT violations: an instance in maintenance that lists leave out for seconds no longer counted as
+// down.
+TEST(MaintenancePlanner, AnAcceptedCallKeepsItsPlaceWhileListsLeaveTheInstanceOut)
+{
+    Fleet fleet(2);
+    MaintenancePlanner plan({ Duration(8000), Duration(500) });
+    const auto load = [](const std::string&) { return InstanceLoad {}; };
+    TimePoint now { Duration(1000) };
+    plan.setWaves({ { s_wave, wave(2, 1) } });
+    const auto first = plan.plan(fleet.instances, load, now).at(0).instance;
+    plan.callSent(s_wave, first, now);
+    plan.callAccepted(s_wave, first, now);
+    const auto sentAt = now;
+    auto without = fleet.instances;
+    without.erase(first);
+    std::optional<TimePoint> nextAt;
+    while (!nextAt && now < sentAt + Duration(20000)) {
+        now += Duration(500);
+        plan.instancesListed(without, now);
+        if (!plan.plan(without, load, now).empty())
+            nextAt = now;
+    }
+    ASSERT_TRUE(nextAt) << "the wave must go on once the maintenance has ended";
+    EXPECT_GE(*nextAt, sentAt + Duration(8000));
+}
+
 TEST(MaintenancePlanner, WaitsForServicesThatCannotSpareATask)
 {
     Fleet fleet(1);
