--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -557,6 +557,54 @@
                 + " s; under half of the capacity was in use for up to " + std::to_string(longest) + " ms on end");
     }
 
+    // Not a case, as no rule is broken. The store turns the coordinator away for about as long as its lease lasts. That
+    // process then hears of its successor by a watch, and forgets it again.
+    int forgottenOwner(const std::string& folder)
+    {
+        constexpr int rounds = 12;
+        constexpr std::int64_t observedMs = 30000;
+        const Deployment deployment(folder, 3);
+        auto& world = deployment.world;
+        for (int i = 0; i < 4; ++i)
+            world.addWorker(workerSpec(i, "press", "a"), [](const std::string&) { return Behaviour { 400 }; });
+        world.configure(1, Json::array({ World::route("q", "press") }), { "press" });
+        world.start();
+        if (!world.awaitReady())
+            return cannotRun("processes are not ready");
+        const auto target = "/q/" + jobId(1);
+        const auto body
+            = jobBody(Json::array({ { { "count", 2 }, { "cpu", 1000 }, { "mem_mb", 100 }, { "est_ms", 400 } } }));
+        if (!world.submit(0, target, body) || !world.awaitState(0, target, "complete", 8000))
+            return cannotRun("the job has not completed");
+        for (int round = 0; round < rounds && isTrouble(); ++round) {
+            const int coordinator = world.coordinator();
+            if (coordinator < 0)
+                return cannotRun("no coordinator");
+            const auto former = static_cast<std::size_t>(coordinator);
+            world.store.setBusy(former, true);
+            sleepMs(1000 + 60 * round);
+            world.store.setBusy(former, false);
+            sleepMs(3000);
+            if (world.request(former, "GET", target).status == 200)
+                continue;
+            const auto until = record.now() + observedMs;
+            int answered = 0;
+            int asked = 0;
+            int ready = 0;
+            while (record.now() < until) {
+                answered += world.request(former, "GET", target).status == 200;
+                ready += world.nodes[former]->isReady();
+                ++asked;
+            }
+            const auto other = world.request((former + 1) % world.nodes.size(), "GET", target).status;
+            return verdict(answered < asked,
+                world.nodes[former]->name() + " answered " + std::to_string(answered) + " of " + std::to_string(asked)
+                    + " calls in 30 s, and was ready " + std::to_string(ready) + " times; another process answers with "
+                    + std::to_string(other));
+        }
+        return verdict(false, "all processes serve");
+    }
+
 } // namespace
 
 } // namespace review
@@ -575,8 +623,8 @@
         return 2;
     std::setvbuf(stdout, nullptr, _IOLBF, 0);
     const std::map<std::string, int (*)(const std::string&)> cases { { "late-acknowledgement", lateAcknowledgement },
-        { "removed-route", removedRoute }, { "failing-service", failingService }, { "large-job", largeJob },
-        { "many-times", manyTimes }, { "gang-checkpoints", gangCheckpoints } };
+        { "removed-route", removedRoute }, { "failing-service", failingService }, { "forgotten-owner", forgottenOwner },
+        { "large-job", largeJob }, { "many-times", manyTimes }, { "gang-checkpoints", gangCheckpoints } };
     const auto found = cases.find(name);
     const int status = found == cases.end() ? 2 : found->second(temporary);
     // Threads of the stand-ins run on, so the process ends without destructors of static objects.
