--- a/review/standin-3/standin.cpp
+++ b/review/standin-3/standin.cpp
@@ -664,7 +664,7 @@
     , m_bornMs(nowMs())
     , m_bornUnix(unixMs())
 {
-    m_server = std::make_unique<Server>([this](const Request& request) { return handle(request); }, freePort());
+    m_server = std::make_unique<Server>([this](const Request& request) { return receive(request); }, freePort());
     registerSelf();
 }
 
@@ -677,7 +677,11 @@
             { "labels", { "a", rack } } });
 }
 
-void Worker::leave()
+void Worker::leave() { stop(false); }
+
+void Worker::crash() { stop(true); }
+
+void Worker::stop(bool isCrash)
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -688,10 +692,33 @@
             end(std::string(m_running.begin()->first), "lost with its worker");
         m_changed.notify_all();
     }
-    m_world.store.remove("servers/" + id);
+    if (!isCrash)
+        m_world.store.remove("servers/" + id);
     m_server->close();
 }
 
+Response Worker::receive(const Request& request)
+{
+    const auto delay = m_world.orderDelay ? m_world.orderDelay(*this, request) : 0;
+    if (!delay)
+        return handle(request);
+    note("worker " + id + ": no answer to " + request.path + " " + request.body + ", carried out in "
+        + std::to_string(delay) + " ms");
+    std::thread([&world = m_world, name = id, request, delay] {
+        std::this_thread::sleep_for(Ms(delay));
+        for (const auto& worker : world.workers()) {
+            if (worker->id != name)
+                continue;
+            const auto response = worker->handle(request);
+            note("worker " + name + ": late " + request.path + " " + request.body
+                + " is carried out: " + std::to_string(response.status));
+        }
+    }).detach();
+    for (int i = 0; i < 300 && !m_hasLeft; ++i)
+        std::this_thread::sleep_for(Ms(10));
+    return dropped();
+}
+
 Response Worker::handle(const Request& request)
 {
     if (isCut) {
@@ -936,6 +963,23 @@
         *this, "i-" + std::to_string(1000 + m_nextId++), machine.id, machine.pool, machine.zone, machine.rack);
 }
 
+void World::restartWorker(std::size_t index, std::int64_t downMs)
+{
+    std::shared_ptr<Worker> former;
+    {
+        const std::lock_guard lock(mutex);
+        former = std::exchange(machines[index]->worker, nullptr);
+        formerWorkers.push_back(former);
+    }
+    former->crash();
+    note("worker " + former->id + " crashes");
+    std::this_thread::sleep_for(Ms(downMs));
+    const std::lock_guard lock(mutex);
+    auto& machine = *machines[index];
+    machine.worker = std::make_shared<Worker>(*this, former->id, machine.id, machine.pool, machine.zone, machine.rack);
+    note("worker " + former->id + " starts again under its id");
+}
+
 void World::addMachine(const std::string& pool, const std::string& zone, const std::string& rack)
 {
     const std::lock_guard lock(mutex);
--- a/review/standin-3/standin.h
+++ b/review/standin-3/standin.h
@@ -173,6 +173,8 @@
     Worker(World&, std::string id, std::string machine, std::string service, std::string zone, std::string rack);
     ~Worker() { leave(); }
     void leave(); // it ends, with all that runs on it
+    void crash(); // the same, but its entry stays in the store
+    Response receive(const Request&); // from the network
     Response handle(const Request&);
     void tick();
     std::int64_t clock() const { return nowMs() - m_bornMs + 1000; }
@@ -201,6 +203,7 @@
         std::string saved;
     };
     void end(const std::string& task, const std::string& how);
+    void stop(bool isCrash);
     Response start(const Json&);
     Response hold(const Json&);
 
@@ -289,6 +292,11 @@
     std::int64_t moveMs { 1500 };
     std::int64_t gangMs { 3000 };
     std::int64_t checkpointMs { 1000 };
+    // Whether an order to a worker gets no answer and is carried out after this time, by the worker that has the id
+    // then. 0: at once, with an answer.
+    std::function<std::int64_t(const Worker&, const Request&)> orderDelay;
+    // The worker of the machine crashes and starts again under its id.
+    void restartWorker(std::size_t machine, std::int64_t downMs);
     // Whether a call for a machine gets no answer and is carried out after this time. 0: at once, with an answer.
     std::function<std::int64_t(const Json&, const std::string& holder)> cloudDelay;
 
