Refuse orders for an earlier incarnation of a worker

Cause: a poll without an answer was carried out seconds later, after its worker had restarted under the same id. It acknowledged ends by a number of the earlier incarnation, so the worker forgot new ends that nobody had seen, and the coordinator took their runs for lost. Orders name the worker by its id only, and the fence was the same for all orders of a term.

Change: the fence of an order for a worker has the term's fence above and a number of the incarnation below. A worker that has seen an order for its present incarnation refuses those for earlier ones. Only a refusal of the present fence means that there is a successor.

--- a/benchmarks/CallMeasure.cpp
+++ b/benchmarks/CallMeasure.cpp
@@ -109,8 +109,8 @@
         void poll(int worker)
         {
             const auto& endpoint = m_endpoints[static_cast<std::size_t>(worker)];
-            const PollOrder order { { WorkerId("worker"), 0 }, endpoint, 486000, 57, Duration(2000) };
-            m_calls.poll(order, 7, [this, worker](const PollAnswer& answer) {
+            const PollOrder order { { WorkerId("worker"), 0 }, endpoint, WorkerFence(7), 486000, 57, Duration(2000) };
+            m_calls.poll(order, [this, worker](const PollAnswer& answer) {
                 m_answered += answer.status == PollAnswer::Status::Answered;
                 poll(worker);
             });
@@ -123,10 +123,11 @@
             order.worker = { WorkerId("worker"), 0 };
             order.endpoint = m_endpoints[static_cast<std::size_t>(m_next)];
             order.task = { JobId("5c0e7a21d94b36f8"), 0, 1, 17 };
+            order.fence = WorkerFence(7);
             order.run = RunNumber(2);
             order.payload = std::string(300, 'x');
             order.deadlineMs = 486000;
-            m_calls.start(order, 7, [this](StartAnswer answer, std::int64_t) {
+            m_calls.start(order, [this](StartAnswer answer, std::int64_t) {
                 m_answered += answer == StartAnswer::Started;
                 start();
             });
--- a/include/marigoldlink/Coordination/WorkerTable.h
+++ b/include/marigoldlink/Coordination/WorkerTable.h
@@ -33,6 +33,7 @@
 // What this coordinator knows about one incarnation of a worker.
 struct Worker {
     WorkerEntry entry;
+    std::uint64_t incarnationNumber { 0 }; // rises with each incarnation of any worker that became known
     bool isRegistered { false };
     TimePoint missingSince; // when its registry entry disappeared
     Resources used; // invariant: sum of what the runs here reserve
@@ -127,6 +128,7 @@
     // Adds the run to the use of the service, or subtracts it.
     void countUse(const ServiceId&, const ReservedRun&, int sign);
 
+    std::uint64_t m_lastIncarnationNumber { 0 };
     std::map<WorkerId, Worker> m_workers;
     std::unordered_map<WorkerId, Worker*> m_workersById; // invariant: exactly the workers of m_workers
     // Invariant: contains each of m_workers exactly once.
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -241,6 +241,9 @@
     void reserveRun(const WorkerId&, const TaskKey&, RunNumber, TimePoint now);
     void orderStart(const PlannedStart&, TimePoint now);
     void orderStop(const WorkerId&, const TaskKey&, RunNumber, StopReason, TimePoint now);
+    WorkerFence fenceFor(const Worker& worker) const { return workerFence(m_term, worker.incarnationNumber); }
+    // Handles that a worker refused the fence of an order for the given incarnation.
+    void fenceRefused(const Worker&, const WorkerIncarnation&);
     void sendStop(const Worker&, const TaskKey&, RunNumber, StopReason, TimePoint now);
     // Logs what is known of a service when one of its tasks is about to be stopped.
     void logServiceStop(const Worker&, const TaskKey&, StopReason, TimePoint now) const;
--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -321,7 +321,7 @@
 
     void execute(const StartOrder& order)
     {
-        m_platform.start(order, fence(),
+        m_platform.start(order,
             answered([this, incarnation = order.worker, task = order.task, run = order.run](
                          StartAnswer answer, std::int64_t clockMs) {
                 m_coordinator.startAnswered(incarnation, task, run, answer, clockMs, m_loop.now());
@@ -330,17 +330,17 @@
 
     void execute(const StopOrder& order)
     {
-        m_platform.stop(order, fence(),
-            answered([this, incarnation = order.worker, task = order.task, run = order.run](StopAnswer answer) {
+        m_platform.stop(
+            order, answered([this, incarnation = order.worker, task = order.task, run = order.run](StopAnswer answer) {
                 m_coordinator.stopAnswered(incarnation, task, run, answer, m_loop.now());
             }));
     }
 
-    void execute(const ThrottleOrder& order) { m_platform.throttle(order, fence()); }
+    void execute(const ThrottleOrder& order) { m_platform.throttle(order); }
 
     void execute(const PollOrder& order)
     {
-        m_platform.poll(order, fence(), answered([this, incarnation = order.worker](const PollAnswer& answer) {
+        m_platform.poll(order, answered([this, incarnation = order.worker](const PollAnswer& answer) {
             if (answer.status != PollAnswer::Status::Answered)
                 m_load.countOrder("failed polls");
             m_coordinator.pollAnswered(incarnation, answer, m_loop.now());
--- a/include/marigoldlink/Entry/FleetPlatform.h
+++ b/include/marigoldlink/Entry/FleetPlatform.h
@@ -92,10 +92,10 @@
         } -> std::same_as<WorkerId>;
 
     // The workers.
-    platform.start(start, fence, onStart);
-    platform.stop(stop, fence, onStop);
-    platform.poll(poll, fence, onPoll);
-    platform.throttle(throttle, fence);
+    platform.start(start, onStart);
+    platform.stop(stop, onStop);
+    platform.poll(poll, onPoll);
+    platform.throttle(throttle);
 
     // The advice service, which decides which workers may run a step.
     platform.advise(advise, onAdvice);
--- a/include/marigoldlink/Entry/Orders.h
+++ b/include/marigoldlink/Entry/Orders.h
@@ -5,6 +5,7 @@
 #include "marigoldlink/Coordination/Journal.h"
 #include "marigoldlink/State/Fleet.h"
 
+#include <algorithm>
 #include <variant>
 
 namespace marigoldlink {
@@ -16,6 +17,20 @@
     bool hasPredecessorResigned { false }; // the coordinator of the previous term has stopped sending orders
 };
 
+// The fence of an order for a worker. It rises with each term and, within a term, with each incarnation of a worker
+// that the coordinator learns of. So a worker that has seen an order for its present incarnation refuses those that
+// were sent to an earlier one, whose numbers of ends and clock mean nothing to it.
+enum class WorkerFence : std::uint64_t {};
+constexpr std::uint64_t number(WorkerFence fence) { return static_cast<std::uint64_t>(fence); }
+
+// All fences of a term are lower than those of later terms. Incarnations beyond the last that fits share its fence.
+constexpr WorkerFence workerFence(const Term& term, std::uint64_t incarnation)
+{
+    constexpr int incarnationBits = 20;
+    constexpr std::uint64_t lastIncarnation = (std::uint64_t { 1 } << incarnationBits) - 1;
+    return WorkerFence((term.fence << incarnationBits) | std::min(incarnation, lastIncarnation));
+}
+
 // Identifies a pending call of a gateway.
 enum class CallToken : std::uint64_t {};
 
@@ -31,6 +46,7 @@
 struct StartOrder {
     WorkerIncarnation worker;
     Endpoint endpoint;
+    WorkerFence fence {};
     TaskKey task;
     RunNumber run {};
     std::string payload;
@@ -42,6 +58,7 @@
 struct StopOrder {
     WorkerIncarnation worker;
     Endpoint endpoint;
+    WorkerFence fence {};
     TaskKey task;
     RunNumber run {};
 };
@@ -49,6 +66,7 @@
 struct ThrottleOrder {
     WorkerIncarnation worker;
     Endpoint endpoint;
+    WorkerFence fence {};
     TaskKey task;
     RunNumber run {};
     int percent { 100 };
@@ -58,6 +76,7 @@
 struct PollOrder {
     WorkerIncarnation worker;
     Endpoint endpoint;
+    WorkerFence fence {};
     std::optional<std::int64_t> deadlineMs; // end of the lease on the worker's clock; nullopt: no extension
     std::int64_t acknowledged { 0 };
     Duration wait { 0 }; // long poll: the worker may hold the answer this long until a run ends
@@ -118,7 +137,7 @@
 
 enum class StartAnswer {
     Started,
-    StaleFence, // the worker has seen an order of a later coordinator
+    StaleFence, // the worker has seen an order of a later coordinator, or for a later incarnation
     OldRun, // a run of the task with this or a higher number has ended or was stopped there
     Late, // the order's deadline had passed
     NoCapacity,
--- a/lib/Coordination/WorkerTable.cpp
+++ b/lib/Coordination/WorkerTable.cpp
@@ -13,7 +13,11 @@
 
 Worker& WorkerTable::findOrAdd(const WorkerId& id)
 {
-    auto& worker = m_workers[id];
+    const auto [found, isNew] = m_workers.try_emplace(id);
+    auto& worker = found->second;
+    // An id may return after its worker was removed, so a new worker gets a number of its own.
+    if (isNew)
+        worker.incarnationNumber = ++m_lastIncarnationNumber;
     m_workersById[id] = &worker;
     return worker;
 }
@@ -25,6 +29,7 @@
     assert(worker.runs.empty() && "the runs of the previous incarnation must have been released");
     Worker next;
     next.entry = worker.entry;
+    next.incarnationNumber = ++m_lastIncarnationNumber;
     next.entry.incarnation.startedUnixMs = startedUnixMs;
     next.isRegistered = worker.isRegistered;
     next.isPollInFlight = worker.isPollInFlight;
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -182,8 +182,9 @@
     reserveRun(start.worker, start.task, start.run, now);
     // A run that goes on from a checkpoint takes less than the whole time.
     worker.runs.at(start.task).isTimed = checkpoint.empty();
-    m_orders.emplace_back(StartOrder { worker.entry.incarnation, worker.entry.endpoint, start.task, start.run,
-        job.spec.payload, checkpoint, ticket ? *ticket : std::string(), worker.lease.extend(now, m_settings.lease) });
+    m_orders.emplace_back(StartOrder { worker.entry.incarnation, worker.entry.endpoint, fenceFor(worker), start.task,
+        start.run, job.spec.payload, checkpoint, ticket ? *ticket : std::string(),
+        worker.lease.extend(now, m_settings.lease) });
 }
 
 void Coordinator::startAnswered(const WorkerIncarnation& incarnation, const TaskKey& key, RunNumber run,
@@ -210,9 +211,7 @@
         return;
     }
     case StartAnswer::StaleFence:
-        m_isSuperseded = true;
-        log("coordinator", std::to_string(m_term.fence),
-            "superseded: worker " + incarnation.id.value() + " has a higher fence");
+        fenceRefused(*worker, incarnation);
         return;
     case StartAnswer::Unknown:
         m_unconfirmedStarts[incarnation.id][key] = { run, now };
@@ -269,7 +268,7 @@
     const bool awaitsPoll = reason == StopReason::StartUnanswered && held != worker.runs.end() && held->second.isService
         && task && task->run && task->run->number == run;
     m_pendingStops[{ worker.entry.incarnation.id, key }] = { now + s_stopRetryDelay, reason, awaitsPoll };
-    m_orders.emplace_back(StopOrder { worker.entry.incarnation, worker.entry.endpoint, key, run });
+    m_orders.emplace_back(StopOrder { worker.entry.incarnation, worker.entry.endpoint, fenceFor(worker), key, run });
 }
 
 void Coordinator::logServiceStop(const Worker& worker, const TaskKey& key, StopReason reason, TimePoint now) const
@@ -302,7 +301,7 @@
     if (found == worker->runs.end() || found->second.number != run)
         return;
     if (answer == StopAnswer::StaleFence) {
-        m_isSuperseded = true;
+        fenceRefused(*worker, incarnation);
         return;
     }
     if (answer != StopAnswer::Stopping)
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -105,6 +105,18 @@
     }
 }
 
+void Coordinator::fenceRefused(const Worker& worker, const WorkerIncarnation& incarnation)
+{
+    // A worker that restarted may have seen a fence of this coordinator for its present incarnation.
+    if (incarnation != worker.entry.incarnation) {
+        log("worker", incarnation.id.value(), "refused an order for an earlier incarnation");
+        return;
+    }
+    m_isSuperseded = true;
+    log("coordinator", std::to_string(m_term.fence),
+        "superseded: worker " + incarnation.id.value() + " has a higher fence");
+}
+
 void Coordinator::schedulePoll(Worker& worker, TimePoint at)
 {
     worker.nextPollAt = at;
@@ -139,7 +151,8 @@
         return;
     }
     advanceAcknowledged(worker);
-    PollOrder order { worker.entry.incarnation, worker.entry.endpoint, std::nullopt, worker.acknowledged, Duration(0) };
+    PollOrder order { worker.entry.incarnation, worker.entry.endpoint, fenceFor(worker), std::nullopt,
+        worker.acknowledged, Duration(0) };
     if (worker.hasSeenFence && worker.isAnswering) {
         order.wait = worker.runs.empty() ? s_idlePollWait : s_busyPollWait;
         if (m_nextThrottleAt.contains(worker.entry.incarnation.id))
@@ -190,12 +203,10 @@
         return;
     worker->isPollInFlight = false;
     m_nextTick = now;
-    if (answer.status == PollAnswer::Status::StaleFence) {
-        m_isSuperseded = true;
-        log("coordinator", std::to_string(m_term.fence),
-            "superseded: worker " + incarnation.id.value() + " has a higher fence");
+    if (answer.status == PollAnswer::Status::StaleFence)
+        fenceRefused(*worker, incarnation);
+    if (m_isSuperseded)
         return;
-    }
     if (answer.status != PollAnswer::Status::Answered) {
         if (worker->isAnswering)
             log("worker", incarnation.id.value(),
@@ -451,8 +462,8 @@
             percent = std::min(s_fullSpeed, percent + (hasTarget ? s_throttleStepUp : s_fullSpeed));
         if (percent == run->percent)
             continue;
-        m_orders.emplace_back(
-            ThrottleOrder { worker.entry.incarnation, worker.entry.endpoint, key, run->number, percent });
+        m_orders.emplace_back(ThrottleOrder {
+            worker.entry.incarnation, worker.entry.endpoint, fenceFor(worker), key, run->number, percent });
         next = now + s_throttleInterval;
     }
 }
--- a/unittests/Entry/FleetModel.cpp
+++ b/unittests/Entry/FleetModel.cpp
@@ -120,7 +120,7 @@
     if (draw == 17 && m_faults.restartsWorkers) {
         auto& worker = m_choices.pick(m_workers).second;
         addTrace("a worker restarts, incarnation " + std::to_string(worker.startedMs + 1));
-        worker = ModelWorker { worker.rate, worker.startedMs + 1, m_now, 0, 0, {}, {}, 0, {}, 0 };
+        worker = ModelWorker { worker.rate, worker.startedMs + 1, m_now, {}, 0, {}, {}, 0, {}, 0 };
     }
 }
 
--- a/unittests/Entry/FleetModel.h
+++ b/unittests/Entry/FleetModel.h
@@ -68,7 +68,7 @@
         m_operators.config.pools.emplace(ServiceId("gates"), WorkerPool { ServiceId("gates"), false, false });
         for (int i = 0; i < workers; ++i)
             m_workers.emplace(WorkerId("w" + std::to_string(i)),
-                ModelWorker { 0.98 + 0.01 * (i % 3), 1, {}, 0, 0, {}, {}, 0, {}, 0 });
+                ModelWorker { 0.98 + 0.01 * (i % 3), 1, {}, {}, 0, {}, {}, 0, {}, 0 });
     }
 
     // Advances time, with faults and submissions drawn from the choices unless withoutFaults is set.
@@ -137,7 +137,7 @@
         double rate { 1 };
         std::int64_t startedMs { 1 };
         TimePoint startedAt;
-        std::uint64_t fence { 0 };
+        WorkerFence fence {};
         std::int64_t deadline { 0 };
         std::map<TaskKey, ModelRun> running;
         std::vector<ListedEnd> ended;
@@ -224,15 +224,12 @@
             post(step, [execute] { execute(); });
             break;
         case DeliveryOutcome::Late:
-            // The worker executes the order late, unless it has restarted.
-            post(Duration(1000 + static_cast<std::int64_t>(m_choices.below(4000))),
-                [this, worker, startedMs = m_workers.at(worker).startedMs, execute] {
-                    if (m_workers.at(worker).startedMs != startedMs)
-                        return;
-                    m_isOrderLate = true;
-                    execute();
-                    m_isOrderLate = false;
-                });
+            // The worker executes the order late, also if it has restarted in the meantime.
+            post(Duration(1000 + static_cast<std::int64_t>(m_choices.below(4000))), [this, execute] {
+                m_isOrderLate = true;
+                execute();
+                m_isOrderLate = false;
+            });
             break;
         case DeliveryOutcome::Lost:
             break;
@@ -264,7 +261,7 @@
 
     void send(const NodePtr& node, const StartOrder& order);
 
-    std::pair<StartAnswer, std::int64_t> start(const StartOrder& order, std::uint64_t fence);
+    std::pair<StartAnswer, std::int64_t> start(const StartOrder& order);
     void check(const StartOrder& order);
     // Checks that a stop order does not end a service task at full capacity while too many others are unavailable.
     void checkStop(const StopOrder& order, const ModelRun& run);
@@ -273,7 +270,7 @@
     void send(const NodePtr& node, const StopOrder& order);
     void send(const NodePtr& node, const PollOrder& order);
 
-    PollAnswer handlePoll(const PollOrder& order, std::uint64_t fence);
+    PollAnswer handlePoll(const PollOrder& order);
     void advance(const WorkerId& id, ModelWorker& worker);
 
     void send(const NodePtr& node, const JournalOrder& order);
--- a/unittests/Entry/FleetModelWorkers.cpp
+++ b/unittests/Entry/FleetModelWorkers.cpp
@@ -6,24 +6,29 @@
 void FleetModel::send(const NodePtr& node, const StartOrder& order)
 {
     using Answer = std::pair<StartAnswer, std::int64_t>;
-    const auto fence = node->term.fence;
     call<Answer>(
-        node, order.worker.id, [this, order, fence] { return start(order, fence); },
+        node, order.worker.id,
+        [this, order, startedMs = m_workers.at(order.worker.id).startedMs] {
+            // No coordinator can prevent a late start on a restarted worker that has not seen a later fence.
+            if (m_isOrderLate && m_workers.at(order.worker.id).startedMs != startedMs)
+                return Answer { StartAnswer::Unknown, 0 };
+            return start(order);
+        },
         [this, node, order](const Answer& answer) {
             node->coordinator->startAnswered(order.worker, order.task, order.run, answer.first, answer.second, m_now);
         },
         { StartAnswer::Unknown, 0 });
 }
 
-std::pair<StartAnswer, std::int64_t> FleetModel::start(const StartOrder& order, std::uint64_t fence)
+std::pair<StartAnswer, std::int64_t> FleetModel::start(const StartOrder& order)
 {
     auto& worker = m_workers.at(order.worker.id);
     if (worker.startedMs != order.worker.startedUnixMs && m_choices.below(2))
         return { StartAnswer::OtherIncarnation, 0 };
     const auto now = clock(worker);
-    if (fence < worker.fence)
+    if (order.fence < worker.fence)
         return { StartAnswer::StaleFence, now };
-    worker.fence = fence;
+    worker.fence = order.fence;
     if (order.deadlineMs <= now)
         return { StartAnswer::Late, now };
     extendLease(worker, order.deadlineMs);
@@ -39,7 +44,8 @@
     }
     check(order);
     addTrace(order.worker.id.value() + " incarnation " + std::to_string(worker.startedMs) + " starts "
-        + order.task.text() + " run " + std::to_string(number(order.run)) + " fence " + std::to_string(fence));
+        + order.task.text() + " run " + std::to_string(number(order.run)) + " fence "
+        + std::to_string(number(order.fence)));
     const auto length = Duration(100 + static_cast<std::int64_t>(m_choices.below(900)));
     const bool isService = m_specs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)].isService;
     worker.running[order.task]
@@ -129,14 +135,13 @@
 
 void FleetModel::send(const NodePtr& node, const StopOrder& order)
 {
-    const auto fence = node->term.fence;
     call<StopAnswer>(
         node, order.worker.id,
-        [this, order, fence] {
+        [this, order] {
             auto& worker = m_workers.at(order.worker.id);
-            if (fence < worker.fence)
+            if (order.fence < worker.fence)
                 return StopAnswer::StaleFence;
-            worker.fence = fence;
+            worker.fence = order.fence;
             auto& highest = worker.highest[order.task];
             highest = std::max(highest, order.run);
             const auto running = worker.running.find(order.task);
@@ -156,44 +161,40 @@
 
 void FleetModel::send(const NodePtr& node, const PollOrder& order)
 {
-    const auto fence = node->term.fence;
     call<PollAnswer>(
-        node, order.worker.id, [this, order, fence] { return handlePoll(order, fence); },
+        node, order.worker.id, [this, order] { return handlePoll(order); },
         [this, node, order](const PollAnswer& answer) { node->coordinator->pollAnswered(order.worker, answer, m_now); },
         PollAnswer {});
 }
 
-PollAnswer FleetModel::handlePoll(const PollOrder& order, std::uint64_t fence)
+PollAnswer FleetModel::handlePoll(const PollOrder& order)
 {
     auto& worker = m_workers.at(order.worker.id);
     PollAnswer answer;
     answer.startedUnixMs = worker.startedMs;
     answer.clockMs = clock(worker);
-    if (fence < worker.fence) {
+    if (order.fence < worker.fence) {
         answer.status = PollAnswer::Status::StaleFence;
         return answer;
     }
-    worker.fence = fence;
+    worker.fence = order.fence;
     answer.status = PollAnswer::Status::Answered;
-    if (order.worker.startedUnixMs == worker.startedMs) {
-        if (order.deadlineMs)
-            extendLease(worker, *order.deadlineMs);
-        for (const auto& end : worker.ended) {
-            if (end.number > order.acknowledged)
-                continue;
-            // As the hosting platform specifies: an end counts as acknowledged unless the lease expired after it.
-            if (worker.lastEndBeforeExpiry >= end.number)
-                continue;
-            if (end.how == RunEnd::Done) {
-                if (m_lastStartedAt[end.task] > m_endedAt.at({ order.worker.id, worker.startedMs, end.number }))
-                    recordViolation(
-                        "TWICE: " + end.task.text() + " was started after the end that is acknowledged now");
-                m_acknowledgedDone.insert(end.task);
-            }
-            m_acknowledgedFailures[end.task] += end.how == RunEnd::Failed;
+    if (order.deadlineMs)
+        extendLease(worker, *order.deadlineMs);
+    for (const auto& end : worker.ended) {
+        if (end.number > order.acknowledged)
+            continue;
+        // As the hosting platform specifies: an end counts as acknowledged unless the lease expired after it.
+        if (worker.lastEndBeforeExpiry >= end.number)
+            continue;
+        if (end.how == RunEnd::Done) {
+            if (m_lastStartedAt[end.task] > m_endedAt.at({ order.worker.id, worker.startedMs, end.number }))
+                recordViolation("TWICE: " + end.task.text() + " was started after the end that is acknowledged now");
+            m_acknowledgedDone.insert(end.task);
         }
-        std::erase_if(worker.ended, [&](const ListedEnd& end) { return end.number <= order.acknowledged; });
+        m_acknowledgedFailures[end.task] += end.how == RunEnd::Failed;
     }
+    std::erase_if(worker.ended, [&](const ListedEnd& end) { return end.number <= order.acknowledged; });
     for (const auto& [task, run] : worker.running)
         answer.running.push_back({ task, run.number, "", 100, 0 });
     const auto listed = std::min(worker.ended.size(), s_maxListedEnds);
--- a/unittests/Entry/RunsTest.cpp
+++ b/unittests/Entry/RunsTest.cpp
@@ -319,5 +319,85 @@
             << "orders are delayed by 15 s at most";
     }
 
+    // A worker whose poll of the first incarnation has no answer, and which then restarts under its id.
+    class RestartedWorker : public testing::Test {
+    protected:
+        RestartedWorker()
+        {
+            fleet.begin({ "w1" });
+            fleet.answerPolls();
+            fleet.run(Duration(5));
+            unanswered = fleet.polls.at(0);
+        }
+
+        CoordinatorHarness fleet;
+        PollOrder unanswered;
+    };
+
+    // Guards against TWICE violations (review/12): a poll without an answer was carried out after the restart. Its
+    // acknowledgement, a number of the earlier incarnation, made the worker forget new ends, and their tasks were
+    // started again. Workers refuse orders with a lower fence than they have seen.
+    TEST_F(RestartedWorker, RefusesOrdersForItsEarlierIncarnation)
+    {
+        fleet.failPolls("w1");
+        fleet.addWorker("w1", 8000, 2);
+        fleet.run(Duration(400));
+        ASSERT_EQ(fleet.polls.size(), 1u);
+        EXPECT_GT(fleet.polls[0].fence, unanswered.fence);
+        fleet.answerPolls();
+        fleet.settle();
+        fleet.accept(CoordinatorHarness::job("a"));
+        fleet.run(Duration(5));
+        ASSERT_EQ(fleet.starts.size(), 1u);
+        EXPECT_GT(fleet.starts[0].fence, unanswered.fence);
+        EXPECT_LT(fleet.starts[0].fence, workerFence({ 11, 2 }, 0)) << "the fences of the next term are higher";
+    }
+
+    // The same if only the answer to a poll shows the restart.
+    TEST_F(RestartedWorker, RefusesOrdersForItsEarlierIncarnationOnceItsAnswerShowsTheRestart)
+    {
+        fleet.failPolls("w1");
+        fleet.run(Duration(400));
+        ASSERT_EQ(fleet.polls.size(), 1u);
+        PollAnswer answer;
+        answer.status = PollAnswer::Status::Answered;
+        answer.startedUnixMs = 2;
+        answer.clockMs = 1;
+        fleet.coordinator.pollAnswered(fleet.polls[0].worker, answer, fleet.now);
+        fleet.polls.clear();
+        fleet.run(Duration(5));
+        ASSERT_EQ(fleet.polls.size(), 1u);
+        EXPECT_GT(fleet.polls[0].fence, unanswered.fence);
+    }
+
+    TEST_F(RestartedWorker, RefusesOrdersForItsEarlierIncarnationIfItWasRemovedInBetween)
+    {
+        fleet.coordinator.workerEntryRemoved(WorkerId("w1"), fleet.now);
+        for (int i = 0; i < 120; ++i) {
+            fleet.failPolls("w1");
+            fleet.run(Duration(100));
+        }
+        ASSERT_EQ(fleet.coordinator.workers().find(WorkerId("w1")), nullptr);
+        fleet.polls.clear();
+        fleet.addWorker("w1", 8000, 2);
+        fleet.run(Duration(5));
+        ASSERT_EQ(fleet.polls.size(), 1u);
+        EXPECT_GT(fleet.polls[0].fence, unanswered.fence);
+    }
+
+    TEST_F(RestartedWorker, SupersedesTheCoordinatorOnlyIfItRefusesItsPresentFence)
+    {
+        fleet.addWorker("w1", 8000, 2);
+        PollAnswer refusal;
+        refusal.status = PollAnswer::Status::StaleFence;
+        fleet.coordinator.pollAnswered(unanswered.worker, refusal, fleet.now);
+        EXPECT_FALSE(fleet.coordinator.isSuperseded());
+        fleet.polls.clear();
+        fleet.run(Duration(400));
+        ASSERT_EQ(fleet.polls.size(), 1u);
+        fleet.coordinator.pollAnswered(fleet.polls[0].worker, refusal, fleet.now);
+        EXPECT_TRUE(fleet.coordinator.isSuperseded());
+    }
+
 } // namespace
 } // namespace marigoldlink
--- a/unittests/Entry/ScriptedPlatform.h
+++ b/unittests/Entry/ScriptedPlatform.h
@@ -65,10 +65,10 @@
     std::optional<WorkerEntry> decodeWorker(const StoredValue&) const { return std::nullopt; }
     WorkerId workerId(const std::string& key) const { return WorkerId(key); }
 
-    void start(const StartOrder&, std::uint64_t, StartCallback) { }
-    void stop(const StopOrder&, std::uint64_t, StopOrderCallback) { }
-    void poll(const PollOrder&, std::uint64_t, PollCallback) { }
-    void throttle(const ThrottleOrder&, std::uint64_t) { }
+    void start(const StartOrder&, StartCallback) { }
+    void stop(const StopOrder&, StopOrderCallback) { }
+    void poll(const PollOrder&, PollCallback) { }
+    void throttle(const ThrottleOrder&) { }
     void advise(const AdviceOrder&, AdviceCallback) { }
     void listInstances(FleetListCallback) { }
     void move(const MoveOrder&, std::uint64_t, Duration, InstanceCallback) { }
