Acknowledge ends only right after an answer of the worker

Callers could see tasks run again after a worker's restart that the coordinator had not noticed.

A poll repeats the number of the last acknowledged end. If the worker has restarted since its last answer and a run was started and has ended there, the number makes it forget that end.

Change: a poll acknowledges only within 100 ms after an answer of the same incarnation, and not again once a poll with the number was answered. It waits 1 s at most, so that it fails before it can be carried out late. After a failed poll one without an acknowledgement comes first.

--- a/include/marigoldlink/Coordination/WorkerTable.h
+++ b/include/marigoldlink/Coordination/WorkerTable.h
@@ -56,6 +56,8 @@
     // The worker numbers ended runs from 1. An end is acknowledged once all changes that result from it are stored.
     std::int64_t lastEndSeen { 0 };
     std::int64_t acknowledged { 0 };
+    std::int64_t acknowledgedInPoll { 0 }; // by the poll in flight
+    std::int64_t acknowledgementAnswered { 0 }; // by polls that were answered; not sent again
     struct PendingEnd {
         std::int64_t number { 0 };
         TaskKey task;
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -276,6 +276,8 @@
     // Schedules the next poll of the worker. A poll that is in flight overrides it when it ends.
     void schedulePoll(Worker&, TimePoint);
     void sendPoll(Worker&, TimePoint now);
+    // Whether a poll that is sent now may acknowledge ends. Its numbers would make a restarted worker forget new ends.
+    bool mayAcknowledge(const Worker&, TimePoint now) const;
     // Delay of the next poll of a worker whose ends are not stored yet. Such polls share a rate, so that their number
     // does not grow when the store is slow.
     Duration immediatePollDelay(Duration minimum) const;
--- a/lib/Entry/CoordinatorWorkers.cpp
+++ b/lib/Entry/CoordinatorWorkers.cpp
@@ -27,6 +27,9 @@
     constexpr Duration s_maxOrderDelay { 15000 };
     // Interval of polls while ends cannot be acknowledged because the store has not written them yet.
     constexpr Duration s_unstoredEndsDelay { 250 };
+    // An acknowledgement is sent at most this long after an answer of its incarnation, in which the worker cannot have
+    // restarted and ended a run.
+    constexpr Duration s_maxAcknowledgementDelay { 100 };
     // Upper limit of the rate of polls of all workers with such ends, which answer at once.
     constexpr std::size_t s_maxImmediatePollsPerSecond = 1000;
     constexpr Duration s_missingCheckPeriod { 200 };
@@ -151,13 +154,19 @@
         return;
     }
     advanceAcknowledged(worker);
+    const bool hasAcknowledgement = worker.acknowledged > worker.acknowledgementAnswered;
+    const bool acknowledges = hasAcknowledgement && mayAcknowledge(worker, now);
+    worker.acknowledgedInPoll = acknowledges ? worker.acknowledged : 0;
     PollOrder order { worker.entry.incarnation, worker.entry.endpoint, fenceFor(worker), std::nullopt,
-        worker.acknowledged, Duration(0) };
+        worker.acknowledgedInPoll, Duration(0) };
     if (worker.hasSeenFence && worker.isAnswering) {
         order.wait = worker.runs.empty() ? s_idlePollWait : s_busyPollWait;
         if (m_nextThrottleAt.contains(worker.entry.incarnation.id))
             order.wait = s_throttledPollWait;
-        if (!worker.pendingEnds.empty())
+        // So that a poll without an answer is given up before it can take effect late.
+        if (acknowledges)
+            order.wait = std::min(order.wait, s_busyPollWait);
+        if (!worker.pendingEnds.empty() || hasAcknowledgement != acknowledges)
             order.wait = Duration(0);
     }
     // The lease of a worker that does not answer is not extended, so that its tasks can start elsewhere once it
@@ -169,6 +178,11 @@
     m_orders.emplace_back(std::move(order));
 }
 
+bool Coordinator::mayAcknowledge(const Worker& worker, TimePoint now) const
+{
+    return worker.isAnswering && now - worker.lastAnswer <= s_maxAcknowledgementDelay;
+}
+
 void Coordinator::removeMissingWorkers(TimePoint now)
 {
     if (now < m_nextMissingCheck || !m_isRestored)
@@ -250,6 +264,7 @@
     // A run that this answer does not name may be among the ends that it leaves out.
     worker->mayHavePredecessorRuns &= answer.mayHaveMoreEnds;
     worker->lastAnswer = now;
+    worker->acknowledgementAnswered = std::max(worker->acknowledgementAnswered, worker->acknowledgedInPoll);
     worker->lease.recordReading(now, answer.clockMs);
     const auto endsBefore = worker->lastEndSeen;
     processEnds(*worker, answer.ended, now);
--- a/unittests/Entry/FleetModelTest.cpp
+++ b/unittests/Entry/FleetModelTest.cpp
@@ -71,6 +71,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, FleetModelTest, ::testing::Range<std::uint32_t>(0, 12));
+// Seed 1667 with timed jobs: TWICE, for an acknowledgement at a worker that had restarted unnoticed.
+INSTANTIATE_TEST_SUITE_P(EarlierFailures, FleetModelTest, ::testing::Values<std::uint32_t>(166));
 
 class FleetCallsTest : public ::testing::TestWithParam<std::uint32_t> { };
 
--- a/unittests/Entry/RunsTest.cpp
+++ b/unittests/Entry/RunsTest.cpp
@@ -385,6 +385,31 @@
         EXPECT_GT(fleet.polls[0].fence, unanswered.fence);
     }
 
+    // Guards against TWICE violations (fleet model, seed 1667 with timed jobs): the worker had restarted unnoticed, and
+    // a run that was started and ended since was forgotten for an acknowledgement of the earlier incarnation's ends.
+    TEST_F(RestartedWorker, IsNotSentAcknowledgementsBeforeItsAnswerShowsWhetherItRestarted)
+    {
+        const ListedEnd end { 7, CoordinatorHarness::task("x"), RunNumber(1), RunEnd::Done, "" };
+        fleet.answerPolls({}, { end });
+        fleet.run(Duration(100));
+        ASSERT_EQ(fleet.polls.size(), 1u);
+        EXPECT_EQ(fleet.polls[0].acknowledged, 7);
+        EXPECT_LE(fleet.polls[0].wait, Duration(1000)) << "given up before it can take effect late";
+        fleet.failPolls("w1");
+        fleet.run(Duration(400));
+        ASSERT_EQ(fleet.polls.size(), 1u);
+        EXPECT_EQ(fleet.polls[0].acknowledged, 0);
+        EXPECT_EQ(fleet.polls[0].wait, Duration(0));
+        fleet.answerPolls({}, { end });
+        fleet.run(Duration(100));
+        ASSERT_EQ(fleet.polls.size(), 1u);
+        EXPECT_EQ(fleet.polls[0].acknowledged, 7);
+        fleet.answerPolls();
+        fleet.run(Duration(100));
+        ASSERT_EQ(fleet.polls.size(), 1u);
+        EXPECT_EQ(fleet.polls[0].acknowledged, 0) << "the worker has answered the poll that acknowledged it";
+    }
+
     TEST_F(RestartedWorker, SupersedesTheCoordinatorOnlyIfItRefusesItsPresentFence)
     {
         fleet.addWorker("w1", 8000, 2);
