Keep the successor that a former coordinator knows

Cause: Election::ownerChanged() read the successor from the owner's record and then called lose(), which cleared the known owner. Its revision stayed, so it was not learnt again before the next election.

Evidence: KnownOwner.IsTheSuccessorOnceItsRecordIsReported failed before: the watch reports a later record before the renewal is refused, and no owner is known.

Change: lose() clears the owner only if it is this process. On a related path a report from before the latest known record cleared the owner too (KnownOwner.IsNotForgottenForAnEarlierView failed before); the view counts only if it is as new as that record. The log line of a lost ownership names the known owner and its revision.

--- a/include/marigoldlink/Entry/Election.h
+++ b/include/marigoldlink/Entry/Election.h
@@ -125,14 +125,11 @@
     {
         const auto& values = m_follower.values();
         const auto found = values.find(records::owner);
-        m_owner.reset();
-        if (found != values.end() && found->second.revision >= m_ownerRevision) {
-            m_ownerRevision = found->second.revision;
-            try {
-                m_owner = Endpoint::parse(found->second.value);
-            } catch (const Error& error) {
-                s_log.error("Owner record does not parse.", { { "reason", error.what() } });
-            }
+        // A view from before the latest known record says nothing about it.
+        if (m_follower.revision() >= m_ownerRevision) {
+            m_owner.reset();
+            if (found != values.end())
+                readOwner(found->second);
         }
         if (m_ownership && found != values.end() && found->second.revision > m_ownership->ownerRevision)
             lose();
@@ -141,6 +138,16 @@
             campaign();
     }
 
+    void readOwner(const StoredValue& record)
+    {
+        m_ownerRevision = record.revision;
+        try {
+            m_owner = Endpoint::parse(record.value);
+        } catch (const Error& error) {
+            s_log.error("Owner record does not parse.", { { "reason", error.what() } });
+        }
+    }
+
     void campaign()
     {
         if (m_hasSteppedDown || m_isCampaigning)
@@ -263,8 +270,12 @@
     void lose()
     {
         m_ownership.reset();
-        m_owner.reset();
-        s_log.warning("No longer the owner of the election key.");
+        // The successor may be known already. Its record is not reported again.
+        if (m_owner == m_self)
+            m_owner.reset();
+        s_log.warning("No longer the owner of the election key.",
+            { { "owner", m_owner ? m_owner->text() : "none" },
+                { "revision", std::to_string(static_cast<std::int64_t>(m_ownerRevision)) } });
         m_onLost();
         m_onOwner();
         if (!m_follower.values().contains(records::owner))
@@ -283,6 +294,7 @@
     OnOwner m_onOwner;
     CampaignDelay m_campaignDelay;
     StoreFollower<Platform> m_follower;
+    // Invariant: the owner by the record of m_ownerRevision, or nullopt if that record is known to be removed.
     std::optional<Endpoint> m_owner;
     Revision m_ownerRevision { noRevision }; // of the latest known owner record
     std::optional<Ownership> m_ownership;
--- a/unittests/Entry/ElectionTest.cpp
+++ b/unittests/Entry/ElectionTest.cpp
@@ -1,4 +1,4 @@
-// Tests of what an owner that resigns tells its successor.
+// Tests of the election: what an owner that resigns tells its successor, and which owner a process knows.
 #include "marigoldlink/Entry/Election.h"
 #include "ScriptedPlatform.h"
 
@@ -9,7 +9,7 @@
 
     constexpr Duration s_ordersAfterLease { 30 };
 
-    class Resignation : public testing::Test {
+    class ElectionTest : public testing::Test {
     protected:
         // Elects the process as the owner of the term after 3. The keys at the head's prefix are as given.
         void elect(std::vector<StoredValue> head)
@@ -26,6 +26,13 @@
             ASSERT_TRUE(m_election.isOwner());
         }
 
+        // The store reports a change of the owner's record, as of the given revision.
+        void ownerReported(const Endpoint& owner, Revision revision)
+        {
+            ASSERT_TRUE(m_platform.answer(
+                records::owner, StoreStatus::Ok, revision, { { records::owner, owner.text(), revision } }));
+        }
+
         // Resigns and returns whether the successor may skip the wait for late orders.
         bool resignsWithMarker()
         {
@@ -46,6 +53,9 @@
             [] { return Duration(0); } };
     };
 
+    class Resignation : public ElectionTest { };
+    class KnownOwner : public ElectionTest { };
+
     // Guards against tasks that run twice: an owner resigned soon after it was elected, and its successor did not wait
     // for the last orders of the owner before, which was paused and may send them for some seconds.
     TEST_F(Resignation, DoesNotVouchForAnEarlierOwnerThatMayStillSendOrders)
@@ -69,5 +79,38 @@
         EXPECT_TRUE(resignsWithMarker());
     }
 
+    // Guards against an entry instance that serves no call (review/11): an owner that saw its successor's record before
+    // its own renewal was refused forgot the successor until the next election.
+    TEST_F(KnownOwner, IsTheSuccessorOnceItsRecordIsReported)
+    {
+        elect(head());
+        const Endpoint successor { "127.0.0.1", 2 };
+        ownerReported(successor, Revision(20));
+        EXPECT_FALSE(m_election.isOwner());
+        EXPECT_EQ(m_election.owner(), successor);
+        EXPECT_EQ(m_election.ownerRevision(), Revision(20));
+    }
+
+    // Guards against the same on a related path: a late report from before the record that a peer had passed on.
+    TEST_F(KnownOwner, IsNotForgottenForAnEarlierView)
+    {
+        elect(head());
+        const Endpoint successor { "127.0.0.1", 3 };
+        m_election.learnOwner(successor, Revision(20));
+        ownerReported({ "127.0.0.1", 2 }, Revision(15));
+        EXPECT_EQ(m_election.owner(), successor);
+        ownerReported(successor, Revision(20));
+        EXPECT_EQ(m_election.owner(), successor);
+    }
+
+    TEST_F(KnownOwner, IsNoneOnceItsRecordIsRemoved)
+    {
+        elect(head());
+        ownerReported({ "127.0.0.1", 2 }, Revision(20));
+        ASSERT_TRUE(
+            m_platform.answer(records::owner, StoreStatus::Ok, Revision(21), { { records::owner, "", Revision(21) } }));
+        EXPECT_EQ(m_election.owner(), std::nullopt);
+    }
+
 } // namespace
 } // namespace marigoldlink
