Stop tasks for a wave only where they have room elsewhere

Cause: drainServices() stopped a task if its step could miss one more, without looking for room. Only the reserved instance had room, and it takes no tasks until its maintenance, which waited for the task.

WavesInAFullPool.StopNoTaskThatCanRunNowhereElse and LeaveTheRoomOfAnInstanceThatCannotBeLeftToOthers failed before (5 of 6 and 5 of 8 tasks at work).

Change: tasks are placed on the other instances before they are stopped, after those that wait already (drainOutlook()). An instance that cannot drain takes tasks, gives its place in the wave to one that can, and stays reserved only for the sizing of pools, so that the pool gets another instance where there is one. A log line says which instances wait for room.

--- a/include/marigoldlink/Coordination/AdviceCache.h
+++ b/include/marigoldlink/Coordination/AdviceCache.h
@@ -35,6 +35,9 @@
     // Returns the valid ticket for starts of the step on this incarnation of the worker, or null.
     const std::string* ticket(const StepKey&, const WorkerIncarnation&, TimePoint now) const;
 
+    // Whether the service has said that the worker may not run the step.
+    bool isRefused(const StepKey&, const WorkerIncarnation&) const;
+
     // Given the workers that could run the step, in order of preference, and how many of them its waiting tasks need,
     // returns the workers to ask about now, and counts the call as in flight. Returns none if there is nothing to ask,
     // or if no call may be made now.
--- a/include/marigoldlink/Coordination/MaintenancePlanner.h
+++ b/include/marigoldlink/Coordination/MaintenancePlanner.h
@@ -35,6 +35,9 @@
 class MaintenancePlanner {
 public:
     using LoadOf = std::function<InstanceLoad(const std::string& instance)>;
+    // Whether the services of an instance that may not be stopped now can leave it while nothing is started on the
+    // instances that are in draining() by then.
+    using CanDrain = std::function<bool(const std::string& instance)>;
 
     struct Limits {
         Duration maintenanceDuration { 2000 };
@@ -54,9 +57,10 @@
     // may be older than a wave, so an instance counts as gone only once the lists over some time have left it out.
     void instancesListed(const std::map<std::string, FleetInstance>& instances, TimePoint askedAt);
 
-    // Chooses the instances to maintain now, given the last list. Those that are still being drained are in reserved().
+    // Chooses the instances to maintain now, given the last list. Those that are to follow are in reserved().
     std::vector<MaintenanceStep> plan(
-        const std::map<std::string, FleetInstance>& instances, const LoadOf&, TimePoint now);
+        const std::map<std::string, FleetInstance>& instances, const LoadOf&, TimePoint now,
+        const CanDrain& = [](const std::string&) { return true; });
 
     // A maintenance call for the instance was sent, and later accepted or rejected. A call serves only the wave that it
     // names: an instance that is in several waves is maintained once for each of them.
@@ -67,7 +71,11 @@
     // which is safe since the call is idempotent.
     void callUnanswered(const WaveId&, const std::string& instance, TimePoint now);
 
+    // The next instances of the waves. Other instances have to make up for them.
     const std::set<std::string>& reserved() const { return m_reserved; }
+    // Those of reserved() whose tasks can leave, so that nothing must be started on them. The others would wait for
+    // room for their tasks, and the tasks that fit only there would wait for them.
+    const std::set<std::string>& draining() const { return m_draining; }
     bool isUnderMaintenance(const std::string& instance) const { return m_underMaintenance.contains(instance); }
     bool hasWork() const;
     // The instances that some wave still has to maintain.
@@ -117,6 +125,7 @@
     std::map<std::string, TimePoint> m_reservedSince;
     std::map<std::string, TimePoint> m_retryNotBefore; // earliest next call, after a rejected one
     std::set<std::string> m_reserved;
+    std::set<std::string> m_draining; // invariant: a subset of m_reserved
 };
 
 } // namespace marigoldlink
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -298,8 +298,19 @@
     bool mayChangeInstances(TimePoint now) const;
     void listInstances(TimePoint now);
     void runWaves(TimePoint now);
-    // Stops service tasks on a worker that is cordoned for maintenance, within the step's limit of unavailable tasks.
-    void drainServices(Worker&, TimePoint now);
+    // Where the tasks of services on a worker would run if they were stopped there.
+    struct DrainOutlook {
+        std::set<TaskKey> movable; // those for which other workers have room
+        // Whether the others are few enough for their services to do without, and no waiting task of a service fits
+        // only on this worker.
+        bool isPossible { true };
+    };
+    DrainOutlook drainOutlook(const Worker&, TimePoint now) const;
+    // Logs the reserved instances that cannot drain, or no longer cannot.
+    void reportDraining();
+    // Stops service tasks on a worker that is cordoned for maintenance, within the step's limit of unavailable tasks,
+    // and only those that can run elsewhere, unless the maintenance can begin without them.
+    void drainServices(const std::string& instance, Worker&, TimePoint now);
     void sizePools(TimePoint now);
     // Divides the capacity of short pools between teams, if the settings ask for it.
     void updateAllotments(TimePoint now);
@@ -430,6 +441,7 @@
     std::map<std::string, FleetInstance> m_instances;
     PoolDemandIndex::FleetBounds m_fleetBounds; // of m_instances
     MaintenancePlanner m_waves;
+    std::set<std::string> m_cannotDrain; // reserved instances, as last logged
     bool m_areWorkersCordoned { false }; // some workers may be cordoned for a wave
     TimePoint m_nextList;
     TimePoint m_listAskedAt;
--- a/lib/Coordination/AdviceCache.cpp
+++ b/lib/Coordination/AdviceCache.cpp
@@ -25,6 +25,15 @@
     return &verdict->second.ticket;
 }
 
+bool AdviceCache::isRefused(const StepKey& step, const WorkerIncarnation& worker) const
+{
+    const auto found = m_steps.find(step);
+    if (found == m_steps.end())
+        return false;
+    const auto verdict = found->second.verdicts.find(worker);
+    return verdict != found->second.verdicts.end() && verdict->second.ticket.empty();
+}
+
 std::vector<WorkerIncarnation> AdviceCache::nextCall(
     const StepKey& step, const std::vector<WorkerIncarnation>& candidates, std::size_t needed, TimePoint now)
 {
--- a/lib/Coordination/MaintenancePlanner.cpp
+++ b/lib/Coordination/MaintenancePlanner.cpp
@@ -102,11 +102,12 @@
     }
 }
 
-std::vector<MaintenanceStep> MaintenancePlanner::plan(
-    const std::map<std::string, FleetInstance>& instances, const LoadOf& loadOf, TimePoint now)
+std::vector<MaintenanceStep> MaintenancePlanner::plan(const std::map<std::string, FleetInstance>& instances,
+    const LoadOf& loadOf, TimePoint now, const CanDrain& canDrain)
 {
     std::vector<MaintenanceStep> steps;
     m_reserved.clear();
+    const auto wereDraining = std::exchange(m_draining, {});
     if (instances.empty())
         return steps;
     std::erase_if(m_underMaintenance, [&](const auto& entry) {
@@ -123,7 +124,7 @@
         struct Waiting {
             std::string instance;
             InstanceLoad load;
-            bool wasReserved;
+            bool wasDraining;
         };
         std::vector<Waiting> waiting;
         for (const auto& instance : state.wave.instances) {
@@ -138,24 +139,36 @@
             const auto retryNotBefore = m_retryNotBefore.find(instance);
             if (retryNotBefore != m_retryNotBefore.end() && retryNotBefore->second > now)
                 continue;
-            waiting.push_back({ instance, loadOf(instance), m_reservedSince.contains(instance) });
+            waiting.push_back({ instance, loadOf(instance), wereDraining.contains(instance) });
         }
         std::stable_sort(waiting.begin(), waiting.end(), [](const Waiting& left, const Waiting& right) {
-            return std::tuple(!left.load.isIdle(), !left.wasReserved, left.load.services + left.load.tasks)
-                < std::tuple(!right.load.isIdle(), !right.wasReserved, right.load.services + right.load.tasks);
+            return std::tuple(!left.load.isIdle(), !left.wasDraining, left.load.services + left.load.tasks)
+                < std::tuple(!right.load.isIdle(), !right.wasDraining, right.load.services + right.load.tasks);
         });
         auto free = state.wave.maxConcurrent - countUnderMaintenance(state);
-        for (const auto& [instance, load, wasReserved] : waiting) {
+        std::vector<std::string> stalled;
+        for (const auto& [instance, load, wasDraining] : waiting) {
             if (free <= 0)
                 break;
+            if (!load.mayStopServices && !canDrain(instance)) {
+                stalled.push_back(instance);
+                continue;
+            }
             --free;
             m_reserved.insert(instance);
+            m_draining.insert(instance);
             const auto reservedSince = m_reservedSince.emplace(instance, now).first->second;
             const bool isWithinDrainTimeout = now - reservedSince < m_limits.drainTimeout;
             if (!load.mayStopServices || (load.tasks > 0 && isWithinDrainTimeout))
                 continue;
             steps.push_back({ id, state.wave.number, instance });
         }
+        for (const auto& instance : stalled) {
+            if (free-- <= 0)
+                break;
+            m_reserved.insert(instance);
+            m_reservedSince.insert_or_assign(instance, now); // the drain timeout starts once it can drain
+        }
     }
     std::erase_if(m_reservedSince, [this](const auto& entry) { return !m_reserved.contains(entry.first); });
     return steps;
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -21,6 +21,78 @@
     // Changes by accepted calls within this time share a journal write.
     constexpr Duration s_recordDelay { 20 };
 
+    // Room for tasks of services on the workers of some pools.
+    class ServiceRoom {
+    public:
+        ServiceRoom(const AdviceCache& advice, std::function<std::vector<const Worker*>(const ServiceId&)> workersOf)
+            : m_advice(advice)
+            , m_workersOf(std::move(workersOf))
+        {
+        }
+
+        // Takes room for a task of the step on the worker that then has the least left. Returns false if none has room.
+        bool take(const Job& job, const StepKey& key)
+        {
+            const auto& spec = job.spec.steps[static_cast<std::size_t>(key.step)];
+            Place* best = nullptr;
+            for (auto& place : placesOf(job.queue.service)) {
+                if (place.fits(key, spec) && !(job.queue.needsAdvice && isRefused(key, place))
+                    && (!best || place.free.milliCores < best->free.milliCores))
+                    best = &place;
+            }
+            if (!best)
+                return false;
+            best->free -= spec.reserved();
+            ++best->taken[key];
+            return true;
+        }
+
+        static bool fitsOn(const Worker& worker, const StepKey& key, const StepSpec& spec)
+        {
+            return Place { &worker, worker.freeCapacity(), {} }.fits(key, spec);
+        }
+
+    private:
+        struct Place {
+            const Worker* worker;
+            Resources free;
+            std::map<StepKey, int> taken;
+
+            bool fits(const StepKey& key, const StepSpec& spec) const
+            {
+                if (!spec.reserved().fitsInto(free)
+                    || (!spec.requiredLabel.empty() && !worker->entry.labels.contains(spec.requiredLabel)))
+                    return false;
+                if (!spec.maxPerWorker)
+                    return true;
+                const auto running = worker->tasksByStep.find({ key.job, key.occurrence, key.step });
+                const auto added = taken.find(key);
+                return (running == worker->tasksByStep.end() ? 0 : running->second)
+                    + (added == taken.end() ? 0 : added->second)
+                    < spec.maxPerWorker;
+            }
+        };
+
+        std::vector<Place>& placesOf(const ServiceId& service)
+        {
+            const auto [found, isNew] = m_places.try_emplace(service);
+            if (isNew) {
+                for (const auto* worker : m_workersOf(service))
+                    found->second.push_back({ worker, worker->freeCapacity(), {} });
+            }
+            return found->second;
+        }
+
+        bool isRefused(const StepKey& key, const Place& place) const
+        {
+            return m_advice.isRefused(key, place.worker->entry.incarnation);
+        }
+
+        const AdviceCache& m_advice;
+        std::function<std::vector<const Worker*>(const ServiceId&)> m_workersOf;
+        std::map<ServiceId, std::vector<Place>> m_places;
+    };
+
 } // namespace
 
 void Coordinator::instancesListed(std::vector<FleetInstance> instances, TimePoint now)
@@ -159,8 +231,16 @@
     if (!isSettled || !mayChangeInstances(now))
         return;
     // Each started maintenance changes how many tasks the services can spare, so the load is checked again per step.
+    for (auto& [id, worker] : m_workers.workers()) {
+        worker.isCordoned = false;
+        worker.hasPendingMaintenance = false;
+    }
     const auto steps = m_waves.plan(
-        m_instances, [this, now](const std::string& instance) { return waveLoad(instance, now); }, now);
+        m_instances, [this, now](const std::string& instance) { return waveLoad(instance, now); }, now,
+        [this, now](const std::string& instance) {
+            const auto* worker = m_workers.find(m_instances.at(instance).worker);
+            return !worker || drainOutlook(*worker, now).isPossible;
+        });
     for (const auto& step : steps) {
         const bool isRepeated = m_waves.isUnderMaintenance(step.instance);
         if (m_maintenanceInFlight.contains(step.instance) || m_moves.contains(step.instance)
@@ -181,24 +261,101 @@
     }
     // The set of cordoned workers may have changed.
     scheduleFullPlacement();
-    for (auto& [id, worker] : m_workers.workers()) {
-        worker.isCordoned = false;
-        worker.hasPendingMaintenance = false;
-    }
+    reportDraining();
     const auto due = m_waves.dueInstances();
     for (const auto& [id, instance] : m_instances) {
         auto* worker = m_workers.find(instance.worker);
         if (!worker)
             continue;
-        worker->isCordoned = m_waves.reserved().contains(id) || m_waves.isUnderMaintenance(id);
+        worker->isCordoned = m_waves.draining().contains(id) || m_waves.isUnderMaintenance(id);
         worker->hasPendingMaintenance = due.contains(id);
-        if (m_waves.reserved().contains(id) && !m_waves.isUnderMaintenance(id))
-            drainServices(*worker, now);
+        if (m_waves.draining().contains(id) && !m_waves.isUnderMaintenance(id))
+            drainServices(id, *worker, now);
+    }
+}
+
+void Coordinator::reportDraining()
+{
+    std::set<std::string> cannotDrain;
+    std::set_difference(m_waves.reserved().begin(), m_waves.reserved().end(), m_waves.draining().begin(),
+        m_waves.draining().end(), std::inserter(cannotDrain, cannotDrain.end()));
+    for (const auto& instance : cannotDrain) {
+        if (!m_cannotDrain.contains(instance))
+            log("maintenance", instance, "waits: its services cannot spare its tasks, which have no room elsewhere");
+    }
+    for (const auto& instance : m_cannotDrain) {
+        if (!cannotDrain.contains(instance))
+            log("maintenance", instance, "no longer waits for room for its tasks");
+    }
+    m_cannotDrain = std::move(cannotDrain);
+}
+
+Coordinator::DrainOutlook Coordinator::drainOutlook(const Worker& worker, TimePoint now) const
+{
+    DrainOutlook outlook;
+    std::set<WorkerId> excluded { worker.entry.incarnation.id };
+    for (const auto& instance : m_waves.draining())
+        excluded.insert(m_instances.at(instance).worker);
+    ServiceRoom room(m_advice, [this, &excluded, now](const ServiceId& service) {
+        std::vector<const Worker*> others;
+        for (const auto& [id, other] : m_workers.ofService(service)) {
+            if (!excluded.contains(id) && !other->isBeingMaintained && isUsable(*other, now))
+                others.push_back(other);
+        }
+        return others;
+    });
+    std::map<StepKey, int> lacking; // tasks without room elsewhere, by step
+    // The tasks that wait already take their room first.
+    const auto& waiting = m_jobs.readyIndex(now).services();
+    if (const auto groups = waiting.find(worker.entry.service); groups != waiting.end()) {
+        for (const auto& [groupKey, group] : groups->second) {
+            if (!groupKey.isService)
+                continue;
+            for (const auto& tree : group.trees) {
+                const auto all = [](const ReadyTree::Needs&) { return false; };
+                for (const auto* node = tree.next(nullptr, all); node; node = tree.next(node, all)) {
+                    const StepKey key { node->entry.job->spec.id, node->entry.occurrence, node->entry.step };
+                    int left = node->entry.tasks;
+                    while (left && room.take(*node->entry.job, key))
+                        --left;
+                    if (left && ServiceRoom::fitsOn(worker, key, node->entry.spec())) {
+                        outlook.isPossible = false;
+                        return outlook;
+                    }
+                    lacking[key] += left;
+                }
+            }
+        }
+    }
+    // Then those that are being stopped on other workers.
+    for (const auto& [place, stop] : m_pendingStops) {
+        const auto* job = m_jobs.find(place.second.job);
+        if (stop.reason == StopReason::Maintenance && place.first != worker.entry.incarnation.id && job
+            && job->isActive() && !room.take(*job, place.second.stepKey()))
+            ++lacking[place.second.stepKey()];
     }
+    std::set<StepKey> steps;
+    for (const auto& [key, run] : worker.runs) {
+        const auto* job = m_jobs.find(key.job);
+        if (!run.isService || !job || !job->isActive())
+            continue;
+        steps.insert(key.stepKey());
+        if (room.take(*job, key.stepKey()))
+            outlook.movable.insert(key);
+        else
+            ++lacking[key.stepKey()];
+    }
+    outlook.isPossible = std::all_of(steps.begin(), steps.end(), [&](const StepKey& key) {
+        const auto limit = m_jobs.find(key.job)->spec.steps[static_cast<std::size_t>(key.step)].maxUnavailable;
+        return !limit || lacking[key] <= limit;
+    });
+    return outlook;
 }
 
-void Coordinator::drainServices(Worker& worker, TimePoint now)
+void Coordinator::drainServices(const std::string& instance, Worker& worker, TimePoint now)
 {
+    const bool isAllowedToLack = waveLoad(instance, now).mayStopServices;
+    const auto outlook = isAllowedToLack ? DrainOutlook {} : drainOutlook(worker, now);
     for (const auto& [key, run] : std::map(worker.runs)) {
         const auto* job = m_jobs.find(key.job);
         const auto* task = m_jobs.findTask(key);
@@ -209,6 +366,8 @@
         const int unavailable = unavailableTasks(job->occurrences.at(key.occurrence), key.step, now);
         if (spec.maxUnavailable > 0 && (unavailable >= spec.maxUnavailable || !isAtFullCapacity(*task, now)))
             continue;
+        if (!isAllowedToLack && !outlook.movable.contains(key))
+            continue;
         orderStop(worker.entry.incarnation.id, key, run.number, StopReason::Maintenance, now);
     }
 }
--- a/unittests/Coordination/MaintenancePlannerTest.cpp
+++ b/unittests/Coordination/MaintenancePlannerTest.cpp
@@ -302,6 +302,33 @@
     EXPECT_GE(*nextAt, sentAt + Duration(8000));
 }
 
+// Guards against waves that stand still: an instance that its tasks could not leave kept the place of the others.
+TEST(MaintenancePlanner, AnInstanceThatCannotDrainLeavesItsPlaceToAnother)
+{
+    MaintenancePlanner plan({});
+    const TimePoint now { Duration(1000) };
+    Fleet fleet(2);
+    MaintenanceWave wave;
+    wave.id = s_wave;
+    wave.instances = { "i0", "i1" };
+    wave.maxConcurrent = 1;
+    plan.setWaves({ { s_wave, wave } });
+    const auto loadOf = [](const std::string&) {
+        InstanceLoad load;
+        load.services = 1;
+        load.mayStopServices = false;
+        return load;
+    };
+    const auto none = [](const std::string&) { return false; };
+    const auto onlySecond = [](const std::string& instance) { return instance == "i1"; };
+    EXPECT_TRUE(plan.plan(fleet.instances, loadOf, now, none).empty());
+    EXPECT_EQ(plan.reserved(), std::set<std::string> { "i0" }) << "the pool has to make up for it";
+    EXPECT_TRUE(plan.draining().empty());
+    EXPECT_TRUE(plan.plan(fleet.instances, loadOf, now, onlySecond).empty());
+    EXPECT_EQ(plan.reserved(), std::set<std::string> { "i1" });
+    EXPECT_EQ(plan.draining(), std::set<std::string> { "i1" });
+}
+
 TEST(MaintenancePlanner, WaitsForServicesThatCannotSpareATask)
 {
     Fleet fleet(1);
--- a/unittests/Entry/WavesTest.cpp
+++ b/unittests/Entry/WavesTest.cpp
@@ -184,6 +184,121 @@
         EXPECT_EQ(fleet.maintenance[1].wave, WaveId("5"));
     }
 
+    // A service of six tasks, of which one may be unavailable, on two workers with room for four each.
+    class WavesInAFullPool : public testing::Test {
+    protected:
+        WavesInAFullPool()
+        {
+            for (const char* id : { "w1", "w2" })
+                addInstance(id);
+            fleet.run(Duration(5));
+            fleet.answerPolls();
+            fleet.coordinator.finishRestore(fleet.now);
+            fleet.settle();
+            fleet.accept(service("s", 6));
+            pass(Duration(1000));
+        }
+
+        static JobSpec service(const std::string& id, int tasks)
+        {
+            auto spec = CoordinatorHarness::job(id, tasks);
+            spec.steps[0].isService = true;
+            spec.steps[0].maxUnavailable = 1;
+            return spec;
+        }
+
+        void addInstance(const std::string& worker)
+        {
+            fleet.addWorker(worker, 4000);
+            FleetInstance instance;
+            instance.id = "m-" + worker;
+            instance.pool = ServiceId("gates");
+            instance.worker = WorkerId(worker);
+            instance.capacity = { 4000, 100000, 0 };
+            instances.push_back(instance);
+            fleet.coordinator.instancesListed(instances, fleet.now);
+        }
+
+        void beginWave(std::vector<std::string> listed)
+        {
+            fleet.operators.waves[WaveId("1")] = CoordinatorHarness::wave("1", std::move(listed));
+            fleet.coordinator.setOperators(fleet.operators, fleet.now);
+        }
+
+        // Advances time while the workers carry out all orders. Maintenance calls remain without an answer.
+        void pass(Duration time)
+        {
+            for (Duration passed { 0 }; passed < time; passed += Duration(50)) {
+                fleet.run(Duration(50));
+                fleet.answerJournal();
+                for (const auto& start : fleet.starts)
+                    running[start.worker.id][start.task] = { start.task, start.run, "", 100, 0 };
+                fleet.answerStarts();
+                for (const auto& stop : std::exchange(fleet.stops, {})) {
+                    ++stopped;
+                    if (running[stop.worker.id].erase(stop.task)) {
+                        auto& ended = ends[stop.worker.id];
+                        ended.push_back(
+                            { static_cast<std::int64_t>(ended.size()) + 1, stop.task, stop.run, RunEnd::Stopped, "" });
+                    }
+                    fleet.coordinator.stopAnswered(stop.worker, stop.task, stop.run, StopAnswer::Stopping, fleet.now);
+                }
+                for (const auto& instance : instances) {
+                    std::vector<ListedRun> listed;
+                    for (const auto& [task, run] : running[instance.worker])
+                        listed.push_back(run);
+                    fleet.answerPolls(listed, ends[instance.worker], instance.worker.value());
+                }
+            }
+        }
+
+        std::size_t atWork() const
+        {
+            std::size_t count = 0;
+            for (const auto& [worker, runs] : running)
+                count += runs.size();
+            return count;
+        }
+
+        CoordinatorHarness fleet;
+        std::vector<FleetInstance> instances;
+        std::map<WorkerId, std::map<TaskKey, ListedRun>> running;
+        std::map<WorkerId, std::vector<ListedEnd>> ends;
+        int stopped { 0 };
+    };
+
+    // Guards against LOST violations (review/13): a task was stopped for a wave although no other instance had room for
+    // it. It could not return to its own instance, which was reserved, and the maintenance waited for it.
+    TEST_F(WavesInAFullPool, StopNoTaskThatCanRunNowhereElse)
+    {
+        ASSERT_EQ(atWork(), 6u);
+        beginWave({ "m-w1", "m-w2" });
+        pass(Duration(10000));
+        EXPECT_EQ(atWork(), 6u);
+        EXPECT_EQ(stopped, 0) << "neither instance can be left by enough tasks";
+        EXPECT_THAT(fleet.maintenance, IsEmpty());
+    }
+
+    TEST_F(WavesInAFullPool, BeginOnceAnInstanceHasRoomForTheTasks)
+    {
+        beginWave({ "m-w1", "m-w2" });
+        pass(Duration(2000));
+        addInstance("w3");
+        pass(Duration(5000));
+        ASSERT_THAT(fleet.maintenance, SizeIs(1));
+        EXPECT_GE(atWork(), 5u) << "one may be unavailable";
+    }
+
+    // Guards against LOST violations: an instance stayed reserved, and its room unused, although it could not be left.
+    TEST_F(WavesInAFullPool, LeaveTheRoomOfAnInstanceThatCannotBeLeftToOthers)
+    {
+        beginWave({ "m-w1", "m-w2" });
+        pass(Duration(2000));
+        fleet.accept(service("t", 2));
+        pass(Duration(2000));
+        EXPECT_EQ(atWork(), 8u) << "each instance has room for one more";
+    }
+
     // A coordinator that takes over a worker with one run of a service; the wave asks for the worker's instance.
     class WavesAfterATakeover : public testing::Test {
     protected:
