Count unknown runs of predecessors against a team's limit

Cause: limits were checked against the runs that workers have listed. Workers that the successor cannot reach run on until their leases end, and their runs counted as nothing; tasks of newly accepted jobs took their place in the limit.

Three of the four tests of TakeoverAtALimit failed before, with six starts instead of two and five.

Change: while some worker may hold runs of a predecessor, placement checks a team's limit against its known use and an upper bound of what it may have there: its unfinished restored tasks, within the capacity of these workers, and the tasks that their records name. It is logged when it changes.

--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -165,7 +165,8 @@
     // A successor finds the runs of a job by the services in the record of its queue, so nothing is started on a
     // service before the record that names it is stored.
     bool isServiceRecorded(const Job&) const;
-    // Whether a predecessor may have started tasks of the job on one of the services.
+    // Whether a predecessor may have started tasks of the job on the service, or on one of the services.
+    bool mayHaveRunsOn(const Job&, const ServiceId&) const;
     bool mayHaveRunsOn(const Job&, const std::set<ServiceId>&) const;
 
     // Cancelling of ids whose submission has not arrived.
@@ -220,9 +221,15 @@
     struct PredecessorRuns {
         std::set<ServiceId> services; // any task of these services may be running
         std::set<TaskKey> tasks;
-        bool areAllKnown { true }; // true if no worker may hold such runs
+        std::size_t workers { 0 }; // number of workers that may hold such runs
+
+        bool areAllKnown() const { return !workers; }
     };
     PredecessorRuns predecessorRuns() const;
+    // The use of the teams with a limit, with the most that such runs may add to it.
+    TeamUsageTotals useWithPredecessorRuns(const PredecessorRuns&, TimePoint now);
+    // Upper bounds of what such runs use, by team with a limit.
+    std::map<TeamId, Resources> possibleUse(const PredecessorRuns&) const;
     void placeTasks(TimePoint now);
     // Requests a placement pass, for one service or for all, in the next tick.
     void schedulePlacement(const ServiceId&);
@@ -388,6 +395,13 @@
     JobTable m_jobs;
     WorkerTable m_workers;
     TeamUsageTotals m_use;
+    // possibleUse() as of the last placement pass. It can only have decreased since, so it may be a little old.
+    struct PossibleUse {
+        std::size_t workers { 0 };
+        TimePoint validUntil;
+        std::map<TeamId, Resources> byTeam;
+    };
+    PossibleUse m_possibleUse;
     AdviceCache m_advice { {} };
     RunTimes m_runTimes;
     Reservations m_reservations; // empty unless the settings ask for them
--- a/include/marigoldlink/State/Fleet.h
+++ b/include/marigoldlink/State/Fleet.h
@@ -44,6 +44,8 @@
     double weight { 1 };
     Resources limit; // a field of 0 means no limit
     std::vector<std::string> keys;
+
+    bool isLimited() const { return limit != Resources {}; }
 };
 
 struct FleetConfig {
--- a/lib/Coordination/Placement.cpp
+++ b/lib/Coordination/Placement.cpp
@@ -12,8 +12,6 @@
 
     std::size_t index(int value) { return static_cast<std::size_t>(value); }
 
-    bool hasLimit(const Resources& limit) { return limit.milliCores || limit.memoryMegabytes || limit.accelerators; }
-
     bool isWithinLimit(std::int64_t value, std::int64_t limit) { return !limit || value <= limit; }
 
 } // namespace
@@ -29,7 +27,7 @@
 
 bool TeamUsageTotals::allows(const JobTeam* team, const TeamId& id, const Resources& more) const
 {
-    if (!team || !hasLimit(team->limit))
+    if (!team || !team->isLimited())
         return true;
     const auto found = m_used.find(id);
     const auto total = found == m_used.end() ? more : found->second + more;
@@ -158,7 +156,7 @@
         if (!m_isAccountedFor(cursor.group->anyJob()))
             return true;
         const auto team = m_config.teams.find(cursor.key->team);
-        if (team != m_config.teams.end() && hasLimit(team->second.limit))
+        if (team != m_config.teams.end() && team->second.isLimited())
             cursor.team = &team->second;
         return false;
     });
--- a/lib/Entry/CoordinatorQueues.cpp
+++ b/lib/Entry/CoordinatorQueues.cpp
@@ -63,15 +63,18 @@
     return queue != m_queues.end() && queue->second.stored.contains(job.queue.service);
 }
 
-bool Coordinator::mayHaveRunsOn(const Job& job, const std::set<ServiceId>& services) const
+bool Coordinator::mayHaveRunsOn(const Job& job, const ServiceId& service) const
 {
-    if (job.wasAcceptedHere || services.empty())
+    if (job.wasAcceptedHere)
         return false;
     const auto queue = m_queues.find(job.spec.queue);
-    if (queue == m_queues.end() || !queue->second.isRestored)
-        return true;
+    return queue == m_queues.end() || !queue->second.isRestored || queue->second.services.contains(service);
+}
+
+bool Coordinator::mayHaveRunsOn(const Job& job, const std::set<ServiceId>& services) const
+{
     return std::any_of(services.begin(), services.end(),
-        [&queue](const ServiceId& service) { return queue->second.services.contains(service); });
+        [this, &job](const ServiceId& service) { return mayHaveRunsOn(job, service); });
 }
 
 } // namespace marigoldlink
--- a/lib/Entry/CoordinatorRuns.cpp
+++ b/lib/Entry/CoordinatorRuns.cpp
@@ -2,6 +2,7 @@
 #include "marigoldlink/Entry/Coordinator.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace marigoldlink {
 
@@ -20,6 +21,49 @@
     constexpr double s_failureDecay = 0.7; // factor applied to the score for each run that ended well
     // Running members of an incomplete gang are stopped if their start was ordered less than this time ago.
     constexpr Duration s_gangStartWindow { 2000 };
+    // Interval of recounts of what unknown runs of predecessors may use, while no further worker lists its runs.
+    constexpr Duration s_possibleUsePeriod { 200 };
+
+    // What runs use that no worker has listed, at most.
+    struct UnlistedUse {
+        Resources need; // counted against the team's limit
+        Resources reserved; // on the workers; less than the need for best-effort tasks
+
+        void add(const StepSpec& step, std::int64_t tasks)
+        {
+            const auto times = [tasks](const Resources& each) {
+                return Resources { each.milliCores * tasks, each.memoryMegabytes * tasks, each.accelerators * tasks };
+            };
+            need += times(step.need);
+            reserved += times(step.reserved());
+        }
+
+        // The workers hold no more than their capacity.
+        Resources within(const Resources& capacity) const
+        {
+            return elementwiseMin(reserved, capacity) + (need - reserved);
+        }
+    };
+
+    void addUnlistedTasks(UnlistedUse& use, const Job& job)
+    {
+        if (job.state == JobState::Complete)
+            return;
+        // The progress of an ended job is not stored, and its runs may not have been stopped yet.
+        if (!job.isActive()) {
+            for (const auto& step : job.spec.steps)
+                use.add(step, std::int64_t { step.tasks } * job.spec.schedule.count());
+            return;
+        }
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                const auto& tasks = occurrence.steps[i].tasks;
+                const auto isUnlisted
+                    = [](const Task& task) { return !task.isDone && !task.run && !task.orphanedRuns; };
+                use.add(job.spec.steps[i], std::count_if(tasks.begin(), tasks.end(), isUnlisted));
+            }
+        }
+    }
 
 } // namespace
 
@@ -57,7 +101,7 @@
     for (const auto& [id, worker] : m_workers.workers()) {
         if (!worker.mayHavePredecessorRuns)
             continue;
-        runs.areAllKnown = false;
+        ++runs.workers;
         if (worker.predecessorRuns)
             runs.tasks.insert(worker.predecessorRuns->begin(), worker.predecessorRuns->end());
         else
@@ -66,6 +110,57 @@
     return runs;
 }
 
+std::map<TeamId, Resources> Coordinator::possibleUse(const PredecessorRuns& earlier) const
+{
+    const auto isLimited = [this](const TeamId& id) {
+        const auto team = m_operators.config.teams.find(id);
+        return team != m_operators.config.teams.end() && team->second.isLimited();
+    };
+    std::map<ServiceId, Resources> capacities;
+    for (const auto& [id, worker] : m_workers.workers()) {
+        if (worker.mayHavePredecessorRuns && !worker.predecessorRuns)
+            capacities[worker.entry.service] += worker.freeCapacity();
+    }
+    std::map<std::pair<TeamId, ServiceId>, UnlistedUse> unlisted;
+    for (const auto& [id, job] : m_jobs.jobs()) {
+        if (!isLimited(job->spec.team))
+            continue;
+        for (const auto& service : earlier.services) {
+            if (mayHaveRunsOn(*job, service))
+                addUnlistedTasks(unlisted[{ job->spec.team, service }], *job);
+        }
+    }
+    std::map<TeamId, Resources> use;
+    for (const auto& [key, runs] : unlisted)
+        use[key.first] += runs.within(capacities[key.second]);
+    for (const auto& key : earlier.tasks) {
+        const auto* job = m_jobs.find(key.job);
+        if (job && isLimited(job->spec.team) && key.step < static_cast<int>(job->spec.steps.size()))
+            use[job->spec.team] += job->stepSpec(key).need;
+    }
+    return use;
+}
+
+TeamUsageTotals Coordinator::useWithPredecessorRuns(const PredecessorRuns& earlier, TimePoint now)
+{
+    auto use = m_use;
+    if (earlier.areAllKnown()) {
+        m_possibleUse = {};
+        return use;
+    }
+    if (m_possibleUse.workers != earlier.workers || m_possibleUse.validUntil <= now) {
+        m_possibleUse = { earlier.workers, now + s_possibleUsePeriod, possibleUse(earlier) };
+        for (const auto& [team, possible] : m_possibleUse.byTeam)
+            log("team", team.value(),
+                std::to_string(earlier.workers) + " workers may hold unknown runs of it, of up to "
+                    + std::to_string(possible.milliCores) + " milli-cores; known use "
+                    + std::to_string(std::llround(m_use.milliCores(team))) + " milli-cores");
+    }
+    for (const auto& [team, possible] : m_possibleUse.byTeam)
+        use.add(team, possible);
+    return use;
+}
+
 void Coordinator::schedulePlacement(const ServiceId& service) { m_servicesToPlace.insert(service); }
 
 void Coordinator::scheduleFullPlacement() { m_mustPlaceAllServices = true; }
@@ -80,9 +175,10 @@
     if ((!m_mustPlaceAllServices && m_servicesToPlace.empty()) || !m_operators.hasConfig())
         return;
     auto earlier = m_mayHavePredecessorRuns ? predecessorRuns() : PredecessorRuns {};
-    m_mayHavePredecessorRuns = !earlier.areAllKnown;
+    m_mayHavePredecessorRuns = !earlier.areAllKnown();
+    const auto use = useWithPredecessorRuns(earlier, now);
     Placement placement(
-        m_jobs, m_workers, m_operators.config, m_use, m_advice,
+        m_jobs, m_workers, m_operators.config, use, m_advice,
         [this, now](const Worker& worker) { return isUsable(worker, now); },
         [this, &earlier](const Job& job) { return isServiceRecorded(job) && !mayHaveRunsOn(job, earlier.services); });
     placement.setBlockedTasks(std::move(earlier.tasks));
--- a/unittests/Entry/TakeoverTest.cpp
+++ b/unittests/Entry/TakeoverTest.cpp
@@ -130,6 +130,80 @@
         EXPECT_THAT(fleet.starts, SizeIs(1));
     }
 
+    // A team with a limit of eight tasks has a job of six. Its predecessor may have started tasks on w2, which does not
+    // answer and has room for four; w1 lists two. Eight more tasks are handed in.
+    class TakeoverAtALimit : public testing::Test {
+    protected:
+        TakeoverAtALimit()
+            : fleet({ 20, 2 })
+        {
+            fleet.operators.config.teams[TeamId("t")] = { TeamId("t"), 1, { 8000, 0, 0 }, {} };
+            fleet.coordinator.setOperators(fleet.operators, fleet.now);
+            fleet.addWorker("w1", 20000);
+            fleet.coordinator.restoreJob(jobOfTeam("a", 6), {}, fleet.now);
+        }
+
+        static JobSpec jobOfTeam(const std::string& id, int tasks)
+        {
+            auto spec = CoordinatorHarness::job(id, tasks);
+            spec.team = TeamId("t");
+            return spec;
+        }
+
+        static ListedRun run(int index) { return { CoordinatorHarness::task("a", index), RunNumber(1), "", 100, 0 }; }
+
+        void takeOver(std::optional<std::set<TaskKey>> onlyRuns)
+        {
+            fleet.coordinator.restoreWorker(fleet.addWorker("w2", 4000), std::move(onlyRuns), fleet.now);
+            fleet.run(Duration(5));
+            fleet.answerPolls({ run(0), run(1) }, {}, "w1");
+            fleet.failPolls("w2");
+            fleet.coordinator.finishRestore(fleet.now);
+            fleet.settle();
+            fleet.accept(jobOfTeam("b", 8));
+            fleet.run(Duration(50));
+        }
+
+        CoordinatorHarness fleet;
+    };
+
+    // Guards against QUOTA violations (review/15): a successor did not count the runs of workers that it could not
+    // reach, and started tasks of new jobs up to the whole limit.
+    TEST_F(TakeoverAtALimit, CountsWhatAWorkerThatDoesNotAnswerMayRun)
+    {
+        takeOver(std::nullopt);
+        EXPECT_EQ(fleet.starts.size(), 2u) << "two are listed, and four may be on w2";
+        for (int i = 0; i < 8; ++i) {
+            fleet.run(Duration(50));
+            fleet.answerPolls({ run(2) }, {}, "w2");
+        }
+        EXPECT_EQ(fleet.starts.size(), 5u) << "w2 lists only one";
+    }
+
+    TEST_F(TakeoverAtALimit, CountsTheTasksThatARecordNames)
+    {
+        takeOver(std::set<TaskKey> { CoordinatorHarness::task("a", 2) });
+        EXPECT_EQ(fleet.starts.size(), 5u) << "two are listed, and one may be on w2";
+    }
+
+    TEST_F(TakeoverAtALimit, CountsTheTasksOfACancelledJobThatMayStillRun)
+    {
+        JobProgress cancelled;
+        cancelled.state = JobState::Cancelled;
+        fleet.coordinator.restoreJob(jobOfTeam("c", 2), cancelled, fleet.now);
+        fleet.coordinator.restoreJob(jobOfTeam("d", 1), { JobState::Complete, {}, {} }, fleet.now);
+        takeOver(std::nullopt);
+        EXPECT_EQ(fleet.starts.size(), 2u) << "no more than four can be on w2";
+    }
+
+    TEST_F(TakeoverAtALimit, UsesTheWholeLimitOnceTheLeasesHaveExpired)
+    {
+        takeOver(std::nullopt);
+        fleet.waitForStarts(6, CoordinatorHarness::leasesExpireAfter, "w2", "w1");
+        EXPECT_GE(fleet.starts.size(), 6u);
+        EXPECT_LE(fleet.starts.size(), 8u);
+    }
+
     TEST(Takeover, ARunThatWasGivenUpBlocksItsTaskUntilItsEndIsListed)
     {
         CoordinatorHarness fleet({ 20, 2 });
