--- a/include/marigoldlink/Coordination/MaintenancePlanner.h
+++ b/include/marigoldlink/Coordination/MaintenancePlanner.h
@@ -26,18 +26,6 @@
     bool isIdle() const { return isKnown && !tasks && !services; }
 };
 
-// The stored part of a wave.
-struct WaveProgress {
-    std::set<std::string> finished; // instances whose maintenance for this wave was accepted
-    // Instances whose call was sent, or is to be sent now, and is not known to be accepted or without effect. A
-    // successor repeats these calls before others, as they may take effect late. Never more than the wave allows at
-    // once.
-    std::set<std::string> called;
-    std::uint64_t version { 0 }; // rises with each change
-
-    friend bool operator==(const WaveProgress&, const WaveProgress&) = default;
-};
-
 struct MaintenanceStep {
     WaveId wave;
     std::int64_t number { 0 };
@@ -54,7 +42,6 @@
     struct Limits {
         Duration maintenanceDuration { 2000 };
         Duration drainTimeout { 1500 }; // time that an instance stays reserved before its tasks are ended
-        Duration longestDelay { 15000 }; // time after its sending in which a call without an answer may take effect
     };
 
     explicit MaintenancePlanner(Limits limits)
@@ -64,20 +51,12 @@
 
     // Sets the waves that operators request now.
     void setWaves(const std::map<WaveId, MaintenanceWave>&);
-    // The calls that a predecessor recorded count as sent now, without an answer.
-    void restore(const WaveId&, WaveProgress, TimePoint now);
+    void restore(const WaveId&, std::set<std::string> finished);
 
     // A list of the instances was read, asked for at the given time. A list may leave out an instance that stays, and
     // may be older than a wave, so an instance counts as gone only once the lists over some time have left it out.
     void instancesListed(const std::map<std::string, FleetInstance>& instances, TimePoint askedAt);
 
-    // Whether a call for the instance may be sent: the store has the wave's progress as it is now, with this call in
-    // it.
-    bool isCallRecorded(const WaveId&, const std::string& instance) const;
-    void progressStored(const WaveId&, std::uint64_t version);
-    // Whether a predecessor recorded the call and it has not been repeated yet.
-    bool isRestoredCall(const std::string& instance) const;
-
     // Chooses the instances to maintain now, given the last list. Those that are to follow are in reserved().
     std::vector<MaintenanceStep> plan(
         const std::map<std::string, FleetInstance>& instances, const LoadOf&, TimePoint now,
@@ -105,7 +84,7 @@
     // Returns the waves whose progress or completion has changed since the last call.
     struct Change {
         WaveId wave;
-        WaveProgress progress;
+        std::set<std::string> finished;
         bool isComplete { false };
     };
     std::vector<Change> takeChanges();
@@ -119,8 +98,7 @@
     struct WaveState {
         MaintenanceWave wave;
         bool isRequested { false }; // operators request it now
-        WaveProgress progress;
-        std::uint64_t storedVersion { 0 }; // of the progress
+        std::set<std::string> finished; // instances whose maintenance for this wave was accepted
         std::map<std::string, Absence> missing; // instances that the last list left out
         std::set<std::string> gone; // those that lists have left out for long enough
         bool isComplete { false };
@@ -132,13 +110,9 @@
         bool isAccepted { false };
         std::optional<TimePoint> unansweredSentAt; // of the last call that had no answer
         std::optional<TimePoint> retryAt; // when the call is sent again
-        bool isRestored { false }; // sent by a predecessor and not repeated yet
     };
 
     int countUnderMaintenance(const WaveState&) const;
-    // Updates the calls in the wave's progress: those without an end, and those that are planned now.
-    void updateCalled(const WaveId&, WaveState&, const std::vector<MaintenanceStep>&);
-    static void progressChanged(WaveState&);
     bool isUnderMaintenanceFor(const WaveId&, const std::string& instance) const;
     // Whether the call can have no further effect on the instance, which the list shows as up or leaves out.
     bool hasEnded(const MaintenanceCall&, TimePoint now) const;
--- a/include/marigoldlink/Coordination/PlanSchedule.h
+++ b/include/marigoldlink/Coordination/PlanSchedule.h
@@ -22,8 +22,6 @@
 
     // Time of the next pass.
     TimePoint next() const { return m_next; }
-    // Requests a pass now.
-    void makeDue() { m_next = TimePoint(); }
     // By how much the last pass was late.
     Duration lag() const { return m_lag; }
 
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -79,7 +79,7 @@
     void restoreQueue(const QueueId&, const QueueRecord&);
     // An id that a predecessor stored as cancelled, with the team that had cancelled it.
     void restoreCancelledId(const JobId&, const TeamId&, TimePoint now);
-    void restoreWave(const WaveId&, WaveProgress, TimePoint now);
+    void restoreWave(const WaveId&, std::set<std::string> finished);
     // onlyRuns: as in WorkerRecord.
     void restoreWorker(const WorkerEntry&, std::optional<std::set<TaskKey>> onlyRuns, TimePoint now);
     // Ends the restore. Before this call the coordinator polls the workers but places no tasks.
--- a/lib/Coordination/MaintenancePlanner.cpp
+++ b/lib/Coordination/MaintenancePlanner.cpp
@@ -31,58 +31,9 @@
     }
 }
 
-void MaintenancePlanner::restore(const WaveId& id, WaveProgress progress, TimePoint now)
+void MaintenancePlanner::restore(const WaveId& id, std::set<std::string> finished)
 {
-    for (const auto& instance : progress.called) {
-        auto& call = m_underMaintenance[instance];
-        call = { id, now, false, now, now };
-        call.isRestored = true;
-    }
-    auto& state = m_waves[id];
-    state.storedVersion = progress.version;
-    state.progress = std::move(progress);
-}
-
-void MaintenancePlanner::progressChanged(WaveState& state)
-{
-    ++state.progress.version;
-    state.hasChanged = true;
-}
-
-void MaintenancePlanner::progressStored(const WaveId& id, std::uint64_t version)
-{
-    if (const auto found = m_waves.find(id); found != m_waves.end())
-        found->second.storedVersion = version;
-}
-
-bool MaintenancePlanner::isCallRecorded(const WaveId& id, const std::string& instance) const
-{
-    const auto found = m_waves.find(id);
-    return found != m_waves.end() && found->second.storedVersion == found->second.progress.version
-        && found->second.progress.called.contains(instance);
-}
-
-bool MaintenancePlanner::isRestoredCall(const std::string& instance) const
-{
-    const auto call = m_underMaintenance.find(instance);
-    return call != m_underMaintenance.end() && call->second.isRestored;
-}
-
-void MaintenancePlanner::updateCalled(const WaveId& id, WaveState& state, const std::vector<MaintenanceStep>& steps)
-{
-    std::set<std::string> called;
-    for (const auto& [instance, call] : m_underMaintenance) {
-        if (call.wave == id && !call.isAccepted && !state.progress.finished.contains(instance))
-            called.insert(instance);
-    }
-    for (const auto& step : steps) {
-        if (step.wave == id)
-            called.insert(step.instance);
-    }
-    if (called == state.progress.called)
-        return;
-    state.progress.called = std::move(called);
-    progressChanged(state);
+    m_waves[id].finished = std::move(finished);
 }
 
 int MaintenancePlanner::countUnderMaintenance(const WaveState& state) const
@@ -142,7 +93,7 @@
 {
     const bool isComplete
         = std::all_of(state.wave.instances.begin(), state.wave.instances.end(), [&](const std::string& instance) {
-              return (state.progress.finished.contains(instance) || state.gone.contains(instance))
+              return (state.finished.contains(instance) || state.gone.contains(instance))
                   && !isUnderMaintenanceFor(id, instance);
           });
     if (isComplete && !state.isComplete) {
@@ -160,8 +111,6 @@
     if (instances.empty())
         return steps;
     std::erase_if(m_underMaintenance, [&](const auto& entry) {
-        if (entry.second.isRestored && now - entry.second.sentAt > m_limits.longestDelay)
-            return true;
         const auto found = instances.find(entry.first);
         // An accepted call has an end of its own. Until then the instance may be down and come back.
         if (found == instances.end())
@@ -176,7 +125,6 @@
             std::string instance;
             InstanceLoad load;
             bool wasDraining;
-            bool wasCalled; // its call is recorded, and was not sent yet
         };
         std::vector<Waiting> waiting;
         for (const auto& instance : state.wave.instances) {
@@ -185,24 +133,21 @@
                 && call->second.wave == id && call->second.retryAt && *call->second.retryAt <= now
                 && found != instances.end())
                 steps.push_back({ id, state.wave.number, instance });
-            if (state.progress.finished.contains(instance) || m_underMaintenance.contains(instance)
-                || found == instances.end() || found->second.state != InstanceState::Up)
+            if (state.finished.contains(instance) || m_underMaintenance.contains(instance) || found == instances.end()
+                || found->second.state != InstanceState::Up)
                 continue;
             const auto retryNotBefore = m_retryNotBefore.find(instance);
             if (retryNotBefore != m_retryNotBefore.end() && retryNotBefore->second > now)
                 continue;
-            waiting.push_back({ instance, loadOf(instance), wereDraining.contains(instance),
-                state.progress.called.contains(instance) });
+            waiting.push_back({ instance, loadOf(instance), wereDraining.contains(instance) });
         }
         std::stable_sort(waiting.begin(), waiting.end(), [](const Waiting& left, const Waiting& right) {
-            return std::tuple(
-                       !left.wasCalled, !left.load.isIdle(), !left.wasDraining, left.load.services + left.load.tasks)
-                < std::tuple(
-                    !right.wasCalled, !right.load.isIdle(), !right.wasDraining, right.load.services + right.load.tasks);
+            return std::tuple(!left.load.isIdle(), !left.wasDraining, left.load.services + left.load.tasks)
+                < std::tuple(!right.load.isIdle(), !right.wasDraining, right.load.services + right.load.tasks);
         });
         auto free = state.wave.maxConcurrent - countUnderMaintenance(state);
         std::vector<std::string> stalled;
-        for (const auto& [instance, load, wasDraining, wasCalled] : waiting) {
+        for (const auto& [instance, load, wasDraining] : waiting) {
             if (free <= 0)
                 break;
             if (!load.mayStopServices && !canDrain(instance)) {
@@ -224,7 +169,6 @@
             m_reserved.insert(instance);
             m_reservedSince.insert_or_assign(instance, now); // the drain timeout starts once it can drain
         }
-        updateCalled(id, state, steps);
     }
     std::erase_if(m_reservedSince, [this](const auto& entry) { return !m_reserved.contains(entry.first); });
     return steps;
@@ -236,7 +180,6 @@
     call.wave = wave;
     call.sentAt = now;
     call.retryAt.reset();
-    call.isRestored = false;
     m_reservedSince.erase(instance);
 }
 
@@ -246,9 +189,8 @@
     const auto found = m_waves.find(wave);
     if (found == m_waves.end() || found->second.isComplete)
         return;
-    found->second.progress.finished.insert(instance);
-    found->second.progress.called.erase(instance);
-    progressChanged(found->second);
+    found->second.finished.insert(instance);
+    found->second.hasChanged = true;
 }
 
 void MaintenancePlanner::callRejected(const std::string& instance, TimePoint now)
@@ -286,7 +228,7 @@
         if (!state.isRequested || state.isComplete)
             continue;
         for (const auto& instance : state.wave.instances) {
-            if (!state.progress.finished.contains(instance))
+            if (!state.finished.contains(instance))
                 due.insert(instance);
         }
     }
@@ -299,7 +241,7 @@
     for (auto& [id, state] : m_waves) {
         if (!state.isRequested || !std::exchange(state.hasChanged, false))
             continue;
-        changes.push_back({ id, state.progress, state.isComplete });
+        changes.push_back({ id, state.finished, state.isComplete });
     }
     return changes;
 }
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -149,11 +149,9 @@
     m_jobs.markStored(job.spec.id, job.version, job.state);
 }
 
-void Coordinator::restoreWave(const WaveId& id, WaveProgress progress, TimePoint now)
+void Coordinator::restoreWave(const WaveId& id, std::set<std::string> finished)
 {
-    for (const auto& instance : progress.called)
-        log("maintenance", instance, "may be called by a predecessor, wave " + id.value());
-    m_waves.restore(id, std::move(progress), now);
+    m_waves.restore(id, std::move(finished));
 }
 
 void Coordinator::restoreWorker(const WorkerEntry& entry, std::optional<std::set<TaskKey>> onlyRuns, TimePoint now)
@@ -312,13 +310,11 @@
         m_journal.put(records::worker(id), encodeWorker(record), RecordClass::Urgent);
     }
     for (const auto& change : m_waves.takeChanges()) {
-        // The calls that it names wait for it.
-        m_journal.put(records::wave(change.wave), encodeWave(change.progress), RecordClass::Urgent);
+        m_journal.put(records::wave(change.wave), encodeWave(change.finished), RecordClass::Progress);
         m_journal.put(m_settings.waveStatusPrefix + change.wave.value(), encodeWaveStatus(change.isComplete),
             RecordClass::Progress);
         log("wave", change.wave.value(),
-            std::to_string(change.progress.finished.size()) + " instances finished, "
-                + std::to_string(change.progress.called.size()) + " called" + (change.isComplete ? ", complete" : ""));
+            std::to_string(change.finished.size()) + " instances finished" + (change.isComplete ? ", complete" : ""));
     }
     m_nextFlush = now + s_progressDelay;
 }
@@ -387,11 +383,6 @@
                 schedulePlacement(worker->entry.service);
             }
         }
-        if (key.starts_with(records::wavePrefix)) {
-            m_waves.progressStored(WaveId(key.substr(records::wavePrefix.size())), decodeWave(value).version);
-            m_waveSchedule.makeDue();
-            m_nextTick = now;
-        }
         if (key.starts_with(records::queuePrefix))
             queueStored(QueueId(key.substr(records::queuePrefix.size())), value);
         if (key.starts_with(records::cancelledIdPrefix))
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -228,7 +228,7 @@
     // A predecessor may have sent calls that it did not record. After this wait the instances concerned are
     // back. No calls are sent either while there may be a successor, which does not expect any.
     const bool isSettled = m_term.number <= 1 || now > m_startedAt + m_settings.maintenanceTime + s_settleMargin;
-    if (!mayChangeInstances(now))
+    if (!isSettled || !mayChangeInstances(now))
         return;
     // Each started maintenance changes how many tasks the services can spare, so the load is checked again per step.
     for (auto& [id, worker] : m_workers.workers()) {
@@ -241,19 +241,11 @@
             const auto* worker = m_workers.find(m_instances.at(instance).worker);
             return !worker || drainOutlook(*worker, now).isPossible;
         });
-    std::set<std::string> planned;
     for (const auto& step : steps) {
-        planned.insert(step.instance);
         const bool isRepeated = m_waves.isUnderMaintenance(step.instance);
-        // The calls that a predecessor recorded are repeated at once. Its own may take effect first.
-        const bool isFirst = !isRepeated || m_waves.isRestoredCall(step.instance);
         if (m_maintenanceInFlight.contains(step.instance) || m_moves.contains(step.instance)
-            || (!isRepeated && !isSettled) || (isFirst && !waveLoad(step.instance, now).mayStopServices))
+            || (!isRepeated && !waveLoad(step.instance, now).mayStopServices))
             continue;
-        if (!m_waves.isCallRecorded(step.wave, step.instance)) {
-            m_nextFlush = std::min(m_nextFlush, now);
-            continue;
-        }
         m_waves.callSent(step.wave, step.instance, now);
         m_maintenanceInFlight[step.instance] = step.wave;
         auto* worker = m_workers.find(m_instances.at(step.instance).worker);
@@ -277,8 +269,7 @@
             continue;
         worker->isCordoned = m_waves.draining().contains(id) || m_waves.isUnderMaintenance(id);
         worker->hasPendingMaintenance = due.contains(id);
-        const bool drains = m_waves.draining().contains(id) && !m_waves.isUnderMaintenance(id);
-        if (isSettled && drains && !planned.contains(id))
+        if (m_waves.draining().contains(id) && !m_waves.isUnderMaintenance(id))
             drainServices(id, *worker, now);
     }
 }
