--- a/include/marigoldlink/Transport/ConnectionGuard.h
+++ b/include/marigoldlink/Transport/ConnectionGuard.h
@@ -57,6 +57,15 @@
 // Who connects to a listener. Each kind may use three quarters of the connections, so that neither locks out the other.
 enum class ListenerKind { Callers, Internal };
 
+// The connections of a kind of listener, and what is due on them.
+struct ConnectionCounts {
+    std::size_t open { 0 };
+    std::size_t partial { 0 }; // a request was read in part
+    std::size_t unread { 0 }; // between two requests, with bytes that were not read yet
+    std::size_t unanswered { 0 }; // a whole request was read, and its answer was not handed over yet
+    std::size_t unsent { 0 }; // the client has not acknowledged the last byte of an answer
+};
+
 class TrackedConnection;
 
 // Tracks the connections of all HTTP servers of a process and ends those that exceed a limit.
@@ -94,6 +103,8 @@
     // Bytes and connections that count now.
     std::size_t heldBytes() const;
     std::size_t connections() const;
+    // Asks the kernel about each connection.
+    ConnectionCounts counts(ListenerKind) const;
 
 private:
     friend class TrackedConnection;
--- a/lib/Transport/ConnectionGuard.cpp
+++ b/lib/Transport/ConnectionGuard.cpp
@@ -465,6 +465,26 @@
 std::size_t ConnectionGuard::heldBytes() const { return m_impl->held; }
 std::size_t ConnectionGuard::connections() const { return m_impl->connections.size(); }
 
+ConnectionCounts ConnectionGuard::counts(ListenerKind listener) const
+{
+    using Phase = TrackedConnection::Phase;
+    ConnectionCounts counts;
+    for (const auto& [key, connection] : m_impl->connections) {
+        if (connection->listener != listener)
+            continue;
+        ++counts.open;
+        if (connection->phase == Phase::Serving)
+            ++counts.unanswered;
+        else if (connection->phase == Phase::Reading)
+            ++counts.partial;
+        else if (connection->phase == Phase::Waiting && queueBytes(connection->socket, SIOCINQ))
+            ++counts.unread;
+        if (connection->phase == Phase::Answering || queueBytes(connection->socket, SIOCOUTQ))
+            ++counts.unsent;
+    }
+    return counts;
+}
+
 bool ConnectionGuard::admit(st_h2o_socket_t* socket, ListenerKind listener)
 {
     sockaddr_in peer {};
--- a/unittests/Transport/ConnectionGuardTest.cpp
+++ b/unittests/Transport/ConnectionGuardTest.cpp
@@ -251,6 +251,27 @@
         EXPECT_EQ(m_requests, 0);
     }
 
+    // Guards against a stop that cannot be explained: the counts tell apart what is due on each connection.
+    TEST_F(Guarded, CountsTellWhatIsDueOnEachConnection)
+    {
+        start(smallLimits(), std::string(600000, 'a'));
+        connect();
+        send(connect(), request(100, 1));
+        send(connect(4096), request(10));
+        EXPECT_TRUE(runUntil([&] { return m_requests == 1; }));
+        m_isAnswering = false;
+        send(connect(), request(10));
+        EXPECT_TRUE(runUntil([&] { return m_requests == 2; }));
+        const auto counts = m_guard->counts(ListenerKind::Callers);
+        EXPECT_EQ(counts.open, 4U);
+        EXPECT_EQ(counts.partial, 1U);
+        EXPECT_EQ(counts.unread, 0U);
+        EXPECT_EQ(counts.unanswered, 1U);
+        EXPECT_EQ(counts.unsent, 1U);
+        EXPECT_EQ(m_guard->counts(ListenerKind::Internal).open, 0U);
+        m_responders.front()->send({});
+    }
+
     // The smallest and the largest instance of the fleets.
     TEST(ConnectionLimits, FollowFromTheMachine)
     {
