--- a/test/CancellingSoakTest.cpp
+++ b/test/CancellingSoakTest.cpp
@@ -5,11 +5,9 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <gtest/gtest.h>
 #include <iostream>
 #include <mutex>
-#include <random>
 #include <stop_token>
 #include <thread>
 
@@ -35,14 +33,7 @@
     // Time from the end of the faults until accepted jobs are complete (finish_s), and for their own work.
     constexpr Milliseconds s_finish { 14000 };
 
-    struct Seed {
-        std::uint32_t value;
-    };
-
-    int draw(std::mt19937& generator, int least, int most)
-    {
-        return std::uniform_int_distribution(least, most)(generator);
-    }
+    using marigoldlink::testing::draw;
 
     Milliseconds draw(std::mt19937& generator, Milliseconds least, Milliseconds most)
     {
@@ -386,25 +377,12 @@
         Milliseconds m_calmSince { 0 };
     };
 
-    std::vector<Seed> seeds()
-    {
-        const char* range = std::getenv("MARIGOLD_SOAK_SEEDS");
-        unsigned first = 6;
-        unsigned count = 1;
-        if (range && std::sscanf(range, "%u:%u", &first, &count) != 2)
-            throw std::runtime_error("MARIGOLD_SOAK_SEEDS must be first:count");
-        std::vector<Seed> result;
-        for (unsigned i = 0; i < count; ++i)
-            result.push_back({ first + i });
-        return result;
-    }
-
 } // namespace
 
 // Fails if a cancelled, rejected or unknown job starts or is shown, or an accepted one does not end, beside faults.
 TEST(CancellingSoak, FaultsOverlap)
 {
-    for (const auto seed : seeds()) {
+    for (const auto seed : soakSeeds({ 6 })) {
         SCOPED_TRACE("seed " + std::to_string(seed.value));
         Soak soak(seed);
         soak.run();
--- a/test/NodeCluster.cpp
+++ b/test/NodeCluster.cpp
@@ -21,18 +21,20 @@
     constexpr Milliseconds s_startTimeout { 20000 };
     constexpr Milliseconds s_electionTimeout { 15000 };
     constexpr Milliseconds s_settleTime { 2000 };
+    constexpr Milliseconds s_exitPoll { 5 };
 
-    std::string configuration()
+    // Versions differ in the time-out of the route.
+    std::string configuration(int version)
     {
         const Json route { { "name", "r-q" }, { "host", "jobs.example" }, { "prefix", "/q/" },
-            { "kind", "non_idempotent" }, { "timeout_ms", 3000 }, { "slo_ms", 600 }, { "priority", 0 },
+            { "kind", "non_idempotent" }, { "timeout_ms", 2999 + version }, { "slo_ms", 600 }, { "priority", 0 },
             { "service", "press" }, { "attempts", 3 }, { "stretch", 1.6 }, { "no_auth", false } };
         auto tenants = Json::array();
         for (const char* number : { "1", "2" })
             tenants.push_back({ { "name", std::string("t-") + number }, { "weight", 1 },
                 { "api_keys", { std::string("key-") + number } } });
         return Json {
-            { "version", 1 }, { "routes", Json::array({ route }) },
+            { "version", version }, { "routes", Json::array({ route }) },
             { "services", Json::array({ { { "name", "press" }, { "rejects_overload", false } } }) },
             { "tenants", tenants }, { "limits", Json::object() }
         }.dump();
@@ -74,6 +76,21 @@
 
 } // namespace
 
+std::vector<Seed> soakSeeds(Seed fixed)
+{
+    const char* range = std::getenv("MARIGOLD_SOAK_SEEDS");
+    unsigned first = fixed.value;
+    unsigned count = 1;
+    if (range && std::sscanf(range, "%u:%u", &first, &count) != 2)
+        throw std::runtime_error("MARIGOLD_SOAK_SEEDS must be first:count");
+    std::vector<Seed> result;
+    for (unsigned i = 0; i < count; ++i)
+        result.push_back({ first + i });
+    return result;
+}
+
+int draw(std::mt19937& generator, int least, int most) { return std::uniform_int_distribution(least, most)(generator); }
+
 Caller::Caller(const standin::Node& node, std::string key)
     : m_name(node.name)
     , m_port(node.front)
@@ -144,7 +161,7 @@
     }
     for (std::size_t i = 0; i < nodes; ++i)
         m_world->nodes[i].zone = std::string("zone-") + static_cast<char>('a' + i % 3);
-    m_world->store.put("op/config", configuration());
+    m_world->store.put("op/config", configuration(m_configurationVersion));
     m_world->start();
 }
 
@@ -210,6 +227,73 @@
 
 void NodeCluster::restart(NodeIndex index) { m_world->startNode(static_cast<std::size_t>(index)); }
 
+Milliseconds NodeCluster::terminate(NodeIndex index)
+{
+    const auto time = now();
+    standin::record.line("%s gets SIGTERM", node(index).name.c_str());
+    m_world->signalNode(static_cast<std::size_t>(index), SIGTERM);
+    m_terminations.emplace(index, time);
+    return time;
+}
+
+std::optional<int> NodeCluster::awaitExit(NodeIndex index, Milliseconds until)
+{
+    auto& process = m_world->nodes[static_cast<std::size_t>(index)].process;
+    int status = 0;
+    while (::waitpid(process, &status, WNOHANG) != process) {
+        if (now() >= until)
+            return std::nullopt;
+        standin::sleepMs(s_exitPoll.count());
+    }
+    process = 0;
+    standin::record.line("process %s has ended with wait status %d", node(index).name.c_str(), status);
+    return status;
+}
+
+void NodeCluster::reload(NodeIndex index)
+{
+    standin::record.line("%s gets SIGHUP", node(index).name.c_str());
+    m_world->signalNode(static_cast<std::size_t>(index), SIGHUP);
+}
+
+void NodeCluster::changeConfiguration()
+{
+    m_world->store.put("op/config", configuration(++m_configurationVersion));
+    standin::record.line("configuration %d", m_configurationVersion);
+}
+
+std::string NodeCluster::stopLogOf(NodeIndex index) const
+{
+    std::string lines;
+    std::ifstream input(m_folder + "/" + node(index).name + ".log");
+    for (std::string line; std::getline(input, line);) {
+        const auto contains = [&line](const std::string& word) { return line.find(word) != std::string::npos; };
+        if (contains("Stopping.") || contains("Stopped.") || contains("Ending."))
+            lines += node(index).name + ": " + line + '\n';
+    }
+    return lines;
+}
+
+std::string NodeCluster::sinceTermination(NodeIndex index, Milliseconds time) const
+{
+    std::optional<Milliseconds> last;
+    const auto [begin, end] = m_terminations.equal_range(index);
+    for (auto i = begin; i != end && i->second <= time; ++i)
+        last = i->second;
+    return last ? "SIGTERM + " + std::to_string((time - *last).count()) + " ms" : "a time without SIGTERM before";
+}
+
+std::set<std::string> NodeCluster::startedJobs() const
+{
+    const std::lock_guard guard(standin::worldLock);
+    std::set<std::string> jobs;
+    for (const auto& worker : m_world->workers) {
+        for (const auto& run : worker->runs())
+            jobs.insert(run.task.substr(0, run.task.find('.')));
+    }
+    return jobs;
+}
+
 std::vector<standin::Run> NodeCluster::runs(const std::string& job) const
 {
     const std::lock_guard guard(standin::worldLock);
--- a/test/NodeCluster.h
+++ b/test/NodeCluster.h
@@ -10,6 +10,8 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +26,14 @@
 constexpr Milliseconds s_cancelBound { 3000 };
 constexpr Milliseconds s_stopBound { 900 };
 
+struct Seed {
+    std::uint32_t value;
+};
+
+// The seeds of a soak: those of MARIGOLD_SOAK_SEEDS=first:count, or else the fixed one.
+std::vector<Seed> soakSeeds(Seed fixed);
+int draw(std::mt19937&, int least, int most);
+
 struct CallerResponse {
     int status { 0 }; // 0: no response in time, or the connection ended
     std::map<std::string, std::string> headers; // by lower-case name
@@ -78,6 +88,21 @@
     void kill(NodeIndex);
     void restart(NodeIndex);
 
+    // Sends SIGTERM, and returns the time at which it was sent.
+    Milliseconds terminate(NodeIndex);
+    // The wait status of a process that was told to end; nullopt if it still runs at this time.
+    std::optional<int> awaitExit(NodeIndex, Milliseconds until);
+    // Sends SIGHUP.
+    void reload(NodeIndex);
+    // The operator's next version, which differs in time-outs.
+    void changeConfiguration();
+    // The lines that the process has logged about its stops.
+    std::string stopLogOf(NodeIndex) const;
+    // Time from the last SIGTERM that the process had got by then, as text.
+    std::string sinceTermination(NodeIndex, Milliseconds time) const;
+
+    // All jobs of which workers have seen a start.
+    std::set<std::string> startedJobs() const;
     // All starts of the job's tasks that workers have seen.
     std::vector<standin::Run> runs(const std::string& job) const;
 
@@ -90,6 +115,8 @@
 private:
     std::string m_folder;
     standin::World* m_world; // never deleted, as its threads refer to it
+    int m_configurationVersion { 1 };
+    std::multimap<NodeIndex, Milliseconds> m_terminations; // of one process in order of time
 };
 
 // Two steps of two tasks each; the second one follows the first.
