Close connections instead of counting calls when a node stops

Cause: the end of the process was decided by the number of calls that had been passed on. That is neither what callers have sent nor what they have received: it leaves out requests that are read after the last look, are read in part or not at all, and answers that were handed to h2o but not sent. No answer told clients to leave, so those that kept their connection could hold the number above 0 until the deadline.

A connection with a request unread, read in part, or unanswered is never closed. h2o itself would close at once, which resets the connection and discards the end of an answer if the client has sent more. The listener accepts what waits before it is closed.

RequestsReadInPart held back a part of a header for 3.5 s, which the limit header_ms ends rightly; it now holds back a part of the body for as long.

--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -75,6 +75,9 @@
     // Resigns as coordinator and campaigns no more. Callers' calls are still served.
     void stepDown() { m_election.stepDown(); }
 
+    // Accepts no more connections of peers.
+    void stopListening() { m_server.stopListening(); }
+
     const OperatorState& operators() const { return m_operators; }
     // False while no authenticated request can be served.
     bool isReady() const { return m_operators.hasConfig() && areKeysCurrent() && !isPartitioned(); }
--- a/include/marigoldlink/Transport/ConnectionGuard.h
+++ b/include/marigoldlink/Transport/ConnectionGuard.h
@@ -97,12 +97,22 @@
     static std::shared_ptr<TrackedConnection> find(st_h2o_socket_t*);
     // Called with a complete request. Returns false if it must be refused, because requests in work hold too much.
     static bool beginRequest(TrackedConnection&);
-    static void beginAnswer(TrackedConnection&, std::size_t bytes);
+    // Whether the connection is to be closed after an answer.
+    static bool isDraining(const TrackedConnection&);
+    // isLast: the answer tells the client that the connection will be closed
+    static void beginAnswer(TrackedConnection&, std::size_t bytes, bool isLast);
     static void endRequest(TrackedConnection&);
 
+    // Closes the connections of this kind, also those that are opened later, before the process ends. A connection is
+    // closed after an answer that says so, or once its client has sent nothing for idleTime. It is never closed while a
+    // request is unread, read in part or unanswered, nor before the client has acknowledged the last byte of an answer.
+    // A later call replaces idleTime.
+    void drain(ListenerKind, Duration idleTime);
+
     // Bytes and connections that count now.
     std::size_t heldBytes() const;
     std::size_t connections() const;
+    std::size_t connections(ListenerKind) const;
     // Asks the kernel about each connection.
     ConnectionCounts counts(ListenerKind) const;
 
--- a/include/marigoldlink/Transport/HttpServer.h
+++ b/include/marigoldlink/Transport/HttpServer.h
@@ -72,7 +72,7 @@
     // Throws Error(InvalidSettings) if the address cannot be bound.
     Endpoint listen(const Endpoint&);
 
-    // Closes the listening socket. Open connections are kept.
+    // Accepts the connections that wait, and closes the listening socket. Open connections are kept.
     void stopListening();
 
     // Total bytes of requests and responses, with an estimate for the headers that h2o adds.
--- a/lib/Transport/ConnectionGuard.cpp
+++ b/lib/Transport/ConnectionGuard.cpp
@@ -5,10 +5,12 @@
 #include "marigoldlink/Support/Log.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <linux/sockios.h>
 #include <list>
 #include <netinet/in.h>
+#include <optional>
 #include <string>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -33,8 +35,10 @@
     constexpr std::size_t s_memoryParts = 4;
     constexpr std::size_t s_bytesPerConnection = 32768;
     constexpr Duration s_sweepPeriod { 100 };
+    constexpr Duration s_drainPeriod { 50 };
     constexpr Duration s_logWindow { 10000 };
     constexpr const char* s_endReason = "limit reached";
+    constexpr const char* s_drainReason = "process is stopping";
     constexpr std::string_view s_headerEnd = "\r\n\r\n";
     constexpr std::string_view s_continueExpected = "100-continue";
 
@@ -46,6 +50,14 @@
         return ::ioctl(h2o_socket_get_fd(socket), which, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
     }
 
+    // True if the client has sent something, or the end of the connection, that was not read yet.
+    bool hasUnreadInput(h2o_socket_t* socket)
+    {
+        char next = 0;
+        const auto received = ::recv(h2o_socket_get_fd(socket), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+        return received >= 0 || (errno != EAGAIN && errno != EINTR);
+    }
+
 } // namespace
 
 std::string_view name(Limit limit)
@@ -81,6 +93,7 @@
         Reading,
         Serving, // the handler has the request; h2o does not read
         Answering, // the answer was handed to h2o
+        Closing, // half-closed and read no more; waits for the client's acknowledgement of all that was sent
     };
 
     ConnectionGuard::Impl* guard { nullptr };
@@ -95,11 +108,12 @@
     bool hasServed { false };
     bool isHeaderComplete { false };
     bool isEnding { false }; // shut down; h2o closes it in the next iteration
+    bool isCloseAnnounced { false }; // by the last answer
 
     bool isLarge() const { return held > s_smallBytes; }
     // h2o releases the memory at once, or when it sees the end of the connection. While a request is in work, it does
     // not.
-    bool canEnd() const { return !isEnding && phase != Phase::Serving; }
+    bool canEnd() const { return !isEnding && phase != Phase::Serving && phase != Phase::Closing; }
 };
 
 struct ConnectionGuard::Impl {
@@ -123,7 +137,10 @@
     std::size_t heldInWork { 0 };
     Connection* reading { nullptr }; // whose read callback runs now
     std::vector<std::weak_ptr<Connection>> ended; // whose request has ended in this iteration
+    std::array<std::optional<Duration>, 2> drainIdleTimes; // by listener; set while its connections are drained
+    TimePoint drainingSince; // of the first of them
     EventLoop::Timer sweepTimer;
+    std::optional<EventLoop::Timer> drainTimer;
     std::uint64_t iterationHook { 0 };
     std::array<std::uint64_t, limitCount> unlogged {};
     bool hasUnlogged { false };
@@ -142,6 +159,8 @@
     ~Impl()
     {
         loop.cancel(sweepTimer);
+        if (drainTimer)
+            loop.cancel(*drainTimer);
         loop.cancelOnIteration(iterationHook);
         for (const auto& [key, connection] : connections) {
             connection->socket->on_close.cb = nullptr;
@@ -368,9 +387,60 @@
             update(*connection);
             if (connection->phase == Phase::Waiting && connection->socket->input->size)
                 setPhase(*connection, Phase::Reading);
+            if (connection->isCloseAnnounced)
+                beginClose(*connection);
+        }
+    }
+
+    std::optional<Duration> drainIdleTime(const Connection& connection) const
+    {
+        return drainIdleTimes.at(static_cast<std::size_t>(connection.listener));
+    }
+
+    void scheduleDrain()
+    {
+        drainTimer = loop.after(s_drainPeriod, [this] {
+            drain();
+            scheduleDrain();
+        });
+    }
+
+    void drain()
+    {
+        std::vector<ConnectionPtr> all;
+        for (const auto& [key, connection] : connections) {
+            if (drainIdleTime(*connection))
+                all.push_back(connection);
+        }
+        const auto now = loop.now();
+        for (const auto& connection : all) {
+            if (!connection->socket)
+                continue;
+            const auto isIdle = now - std::max(connection->since, drainingSince) >= *drainIdleTime(*connection);
+            if (connection->phase == Phase::Closing) {
+                if (!queueBytes(connection->socket, SIOCOUTQ))
+                    connection->read(connection->socket, s_drainReason); // h2o closes the connection
+            } else if (connection->isCloseAnnounced || isIdle) {
+                beginClose(*connection);
+            }
         }
     }
 
+    // Half-closes a connection on which nothing is due. A close at once would reset the connection if the client sends
+    // more, and with it discard the end of an answer.
+    void beginClose(Connection& connection)
+    {
+        auto* socket = connection.socket;
+        if (connection.phase != Phase::Waiting || connection.isEnding || socket->input->size || hasUnreadInput(socket))
+            return;
+        watch(connection);
+        if (!connection.read)
+            return;
+        h2o_socket_read_stop(socket);
+        ::shutdown(h2o_socket_get_fd(socket), SHUT_WR);
+        setPhase(connection, Phase::Closing);
+    }
+
     void scheduleSweep()
     {
         sweepTimer = loop.after(s_sweepPeriod, [this] {
@@ -423,6 +493,8 @@
             if (time > limits.answerTime)
                 end(connection, Limit::AnswerTime);
             break;
+        case Phase::Closing:
+            break;
         }
     }
 
@@ -464,6 +536,10 @@
 void ConnectionGuard::report(Limit limit) { m_impl->report(limit); }
 std::size_t ConnectionGuard::heldBytes() const { return m_impl->held; }
 std::size_t ConnectionGuard::connections() const { return m_impl->connections.size(); }
+std::size_t ConnectionGuard::connections(ListenerKind listener) const
+{
+    return m_impl->byListener.at(static_cast<std::size_t>(listener));
+}
 
 ConnectionCounts ConnectionGuard::counts(ListenerKind listener) const
 {
@@ -543,10 +619,25 @@
     return false;
 }
 
-void ConnectionGuard::beginAnswer(TrackedConnection& connection, std::size_t bytes)
+void ConnectionGuard::drain(ListenerKind listener, Duration idleTime)
+{
+    m_impl->drainIdleTimes.at(static_cast<std::size_t>(listener)) = idleTime;
+    if (m_impl->drainTimer)
+        return;
+    m_impl->drainingSince = m_impl->loop.now();
+    m_impl->scheduleDrain();
+}
+
+bool ConnectionGuard::isDraining(const TrackedConnection& connection)
+{
+    return connection.guard && connection.guard->drainIdleTime(connection);
+}
+
+void ConnectionGuard::beginAnswer(TrackedConnection& connection, std::size_t bytes, bool isLast)
 {
     if (!connection.guard)
         return;
+    connection.isCloseAnnounced = isLast;
     connection.guard->setPhase(connection, TrackedConnection::Phase::Answering);
     connection.answerBytes = bytes;
     connection.guard->update(connection);
--- a/lib/Transport/HttpServer.cpp
+++ b/lib/Transport/HttpServer.cpp
@@ -25,6 +25,7 @@
     // The request may have taken effect.
     constexpr int s_statusUnknown = 504;
     constexpr const char* s_retryAfter = "1";
+    constexpr std::string_view s_headerEnd = "\r\n\r\n";
 
     const char* reasonPhrase(int status)
     {
@@ -60,6 +61,18 @@
         return bytes;
     }
 
+    // True if the client has sent more than this request. Chunked bodies count as more.
+    bool hasFurtherInput(const h2o_req_t* request)
+    {
+        auto* socket = request->conn->callbacks->get_socket(request->conn);
+        const std::string_view input(socket->input->bytes, socket->input->size);
+        const auto header = input.find(s_headerEnd);
+        if (header == std::string_view::npos || input.size() > header + s_headerEnd.size() + request->entity.len)
+            return true;
+        char next = 0;
+        return ::recv(h2o_socket_get_fd(socket), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT) > 0;
+    }
+
     // Allocated in the request's memory pool; notifies the responder when h2o disposes of the request.
     struct RequestGuard;
 
@@ -83,8 +96,10 @@
             m_request = nullptr;
             m_onClosed = nullptr;
             m_byteCounters.sent += s_responseHeadBytes + answer.body.size();
+            const bool isLast = request->http1_is_persistent && m_connection
+                && ConnectionGuard::isDraining(*m_connection) && !hasFurtherInput(request);
             if (m_connection)
-                ConnectionGuard::beginAnswer(*m_connection, answer.body.size());
+                ConnectionGuard::beginAnswer(*m_connection, answer.body.size(), isLast);
             request->res.status = answer.status;
             request->res.reason = reasonPhrase(answer.status);
             request->res.content_length = answer.body.size();
@@ -96,7 +111,13 @@
                 h2o_add_header_by_str(&request->pool, &request->res.headers, headerCopy.base, headerCopy.len, 1,
                     nullptr, valueCopy.base, valueCopy.len);
             }
+            if (isLast)
+                request->http1_is_persistent = 0; // h2o writes "Connection: close"
             h2o_send_inline(request, answer.body.data(), answer.body.size());
+            // h2o would close the connection although the client may have sent more, which resets it. The guard closes
+            // it instead.
+            if (isLast)
+                request->http1_is_persistent = 1;
         }
 
         bool isOpen() const override { return m_request; }
@@ -240,6 +261,15 @@
                 self->guard->watch(socket);
         }
     }
+
+    void closeListener()
+    {
+        if (!listener)
+            return;
+        h2o_socket_read_stop(listener);
+        h2o_socket_close(listener);
+        listener = nullptr;
+    }
 };
 
 HttpServer::HttpServer(EventLoop& loop, Limits limits, HttpHandler handler)
@@ -263,7 +293,7 @@
     m_impl->acceptContext.hosts = m_impl->config.hosts;
 }
 
-HttpServer::~HttpServer() { stopListening(); }
+HttpServer::~HttpServer() { m_impl->closeListener(); }
 
 Endpoint HttpServer::listen(const Endpoint& endpoint)
 {
@@ -302,9 +332,9 @@
 {
     if (!m_impl->listener)
         return;
-    h2o_socket_read_stop(m_impl->listener);
-    h2o_socket_close(m_impl->listener);
-    m_impl->listener = nullptr;
+    // Requests may have been sent on connections that wait to be accepted.
+    Impl::onAccept(m_impl->listener, nullptr);
+    m_impl->closeListener();
 }
 
 } // namespace marigoldlink
--- a/test/NodeStopTest.cpp
+++ b/test/NodeStopTest.cpp
@@ -239,7 +239,7 @@
         Milliseconds end;
     };
     // A header must arrive within 3 s.
-    const std::vector<Part> parts { { size / 2, Milliseconds(-300), Milliseconds(3200) },
+    const std::vector<Part> parts { { size - request.body.size() / 2, Milliseconds(-300), Milliseconds(3200) },
         { size - 1, Milliseconds(100), Milliseconds(4200) }, { 40, Milliseconds(500), Milliseconds(2900) },
         { 1, Milliseconds(2400), Milliseconds(3800) } };
     choose(Role::Follower);
--- a/unittests/Transport/ConnectionGuardTest.cpp
+++ b/unittests/Transport/ConnectionGuardTest.cpp
@@ -89,6 +89,34 @@
             return text.substr(0, text.find("\r\n"));
         }
 
+        struct Received {
+            std::string text;
+            bool isClosed { false }; // by the end of the connection, not by a reset
+
+            std::size_t count(const std::string& word) const
+            {
+                std::size_t found = 0;
+                for (auto at = text.find(word); at != std::string::npos; at = text.find(word, at + 1))
+                    ++found;
+                return found;
+            }
+        };
+
+        // What arrives until the connection ends, at most for a second.
+        Received receiveAll(int socket, std::size_t piece = 65536)
+        {
+            Received received;
+            std::vector<char> buffer(piece);
+            runUntil([&] {
+                const auto size = ::recv(socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+                if (size > 0)
+                    received.text.append(buffer.data(), static_cast<std::size_t>(size));
+                received.isClosed = size == 0;
+                return size == 0 || (size < 0 && errno != EAGAIN);
+            });
+            return received;
+        }
+
         template <typename Condition> bool runUntil(Condition condition)
         {
             const auto latest = m_loop.now() + Duration(1000);
@@ -272,6 +300,143 @@
         m_responders.front()->send({});
     }
 
+    // Guards against clients that go on using a connection until the process is gone: the last answer tells them to
+    // leave.
+    TEST_F(Guarded, ADrainedConnectionIsClosedAfterAnAnswerThatSaysSo)
+    {
+        start(smallLimits());
+        const int socket = connect();
+        send(socket, request(10));
+        EXPECT_EQ(answer(socket), "HTTP/1.1 200 OK");
+        m_guard->drain(ListenerKind::Callers, Duration(10000));
+        send(socket, request(10));
+        const auto received = receiveAll(socket);
+        EXPECT_EQ(received.count("HTTP/1.1 200 OK"), 1U) << received.text;
+        EXPECT_EQ(received.count("Connection: close"), 1U) << received.text;
+        EXPECT_TRUE(received.isClosed);
+        EXPECT_TRUE(runUntil([&] { return m_guard->connections(ListenerKind::Callers) == 0; }));
+    }
+
+    // Guards against pipelined requests that are dropped behind an answer that closes the connection.
+    TEST_F(Guarded, ADrainedConnectionAnswersAllPipelinedRequests)
+    {
+        start(smallLimits());
+        m_isAnswering = false;
+        const int socket = connect();
+        send(socket, request(10) + request(10) + request(10));
+        EXPECT_TRUE(runUntil([&] { return m_requests == 1; }));
+        m_isAnswering = true;
+        m_guard->drain(ListenerKind::Callers, Duration(10000));
+        m_responders.front()->send({});
+        const auto received = receiveAll(socket);
+        EXPECT_EQ(received.count("HTTP/1.1 200 OK"), 3U) << received.text;
+        EXPECT_EQ(received.count("Connection: close"), 1U) << received.text;
+        EXPECT_TRUE(received.isClosed);
+    }
+
+    // Guards against requests that are lost because they were read in part when the process stopped.
+    TEST_F(Guarded, ADrainedConnectionWaitsForTheRestOfARequest)
+    {
+        start(smallLimits());
+        const int socket = connect();
+        send(socket, request(10, 1));
+        m_guard->drain(ListenerKind::Callers, Duration(0));
+        runFor(Duration(300));
+        send(socket, "x");
+        const auto received = receiveAll(socket);
+        EXPECT_EQ(received.count("HTTP/1.1 200 OK"), 1U) << received.text;
+        EXPECT_TRUE(received.isClosed);
+    }
+
+    // Guards against answers that are cut off because they were handed to the HTTP library but not sent.
+    TEST_F(Guarded, ADrainedConnectionSendsAnAnswerToItsLastByte)
+    {
+        constexpr std::size_t size = 600000;
+        start(smallLimits(), std::string(size, 'a'));
+        const int socket = connect(4096);
+        send(socket, request(10));
+        EXPECT_TRUE(runUntil([&] { return m_requests == 1; }));
+        m_guard->drain(ListenerKind::Callers, Duration(0));
+        runFor(Duration(200));
+        EXPECT_EQ(m_guard->connections(ListenerKind::Callers), 1U);
+        Received all;
+        for (int i = 0; i < 50 && !all.isClosed; ++i) {
+            const auto part = receiveAll(socket);
+            all.text += part.text;
+            all.isClosed = part.isClosed;
+        }
+        EXPECT_GE(all.text.size(), size);
+        EXPECT_TRUE(all.isClosed);
+        EXPECT_TRUE(runUntil([&] { return m_guard->connections(ListenerKind::Callers) == 0; }));
+    }
+
+    // Guards against an answer whose end is discarded, since its client sent another request while it was being sent.
+    TEST_F(Guarded, ADrainedConnectionAnswersARequestThatComesDuringTheLastAnswer)
+    {
+        constexpr std::size_t size = 600000;
+        start(smallLimits(), std::string(size, 'a'));
+        const int socket = connect(4096);
+        m_guard->drain(ListenerKind::Callers, Duration(10000));
+        send(socket, request(10));
+        EXPECT_TRUE(runUntil([&] { return m_requests == 1; }));
+        send(socket, request(10));
+        Received all;
+        for (int i = 0; i < 50 && !all.isClosed; ++i) {
+            const auto part = receiveAll(socket);
+            all.text += part.text;
+            all.isClosed = part.isClosed;
+        }
+        EXPECT_GE(all.text.size(), 2 * size);
+        EXPECT_TRUE(all.isClosed);
+    }
+
+    // Guards against the same after the answer was written to the kernel: the connection is closed only once the client
+    // has acknowledged all of it.
+    TEST_F(Guarded, ADrainedConnectionIsNotResetBeforeItsAnswerIsAcknowledged)
+    {
+        constexpr std::size_t size = 40000;
+        start(smallLimits(), std::string(size, 'a'));
+        const int socket = connect(4096);
+        m_guard->drain(ListenerKind::Callers, Duration(10000));
+        send(socket, request(10));
+        EXPECT_TRUE(runUntil([&] { return m_requests == 1; }));
+        runFor(Duration(100));
+        send(socket, request(10));
+        runFor(Duration(200));
+        const auto received = receiveAll(socket);
+        EXPECT_EQ(m_requests, 1) << "the connection was half-closed";
+        EXPECT_GE(received.text.size(), size);
+        EXPECT_TRUE(received.isClosed);
+    }
+
+    // Guards against a stop that waits for clients that send nothing, and against one that resets them.
+    TEST_F(Guarded, ADrainedConnectionIsClosedWhenItIsIdle)
+    {
+        start(smallLimits());
+        const int socket = connect();
+        send(socket, request(10));
+        EXPECT_EQ(answer(socket), "HTTP/1.1 200 OK");
+        m_guard->drain(ListenerKind::Callers, Duration(200));
+        runFor(Duration(100));
+        send(connect(), "POST /a HTTP/1.1\r\n");
+        EXPECT_EQ(m_guard->connections(), 2U);
+        EXPECT_TRUE(receiveAll(socket).isClosed);
+        EXPECT_TRUE(runUntil([&] { return m_guard->connections() == 1; }));
+        runFor(Duration(300));
+        EXPECT_EQ(m_guard->connections(), 1U) << "a request was read in part";
+    }
+
+    // Guards against requests on connections that were opened but not accepted when the listener closed.
+    TEST_F(Guarded, StopListeningServesConnectionsThatWait)
+    {
+        start(smallLimits());
+        const int socket = connect();
+        const auto text = request(10);
+        EXPECT_EQ(::send(socket, text.data(), text.size(), 0), static_cast<ssize_t>(text.size()));
+        m_server->stopListening();
+        EXPECT_EQ(answer(socket), "HTTP/1.1 200 OK");
+    }
+
     // The smallest and the largest instance of the fleets.
     TEST(ConnectionLimits, FollowFromTheMachine)
     {
