--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -75,6 +75,14 @@
     // Resigns as coordinator and campaigns no more. Callers' calls are still served.
     void stepDown() { m_election.stepDown(); }
 
+    // Ends all open calls with what is known about them. Later calls are not passed on.
+    void finishCalls()
+    {
+        m_areCallsFinished = true;
+        while (!m_calls.empty())
+            finishUnanswered(m_calls.begin()->first);
+    }
+
     // Accepts no more connections of peers.
     void stopListening() { m_server.stopListening(); }
 
@@ -101,6 +109,10 @@
     // Forwards the call to the coordinator. The callback is called exactly once, within the given time.
     void call(FleetCallRequest request, Duration time, CallCallback callback)
     {
+        if (m_areCallsFinished) {
+            callback({});
+            return;
+        }
         const auto id = m_nextCall++;
         auto& pending = m_calls[id];
         pending.request = std::move(request);
@@ -121,6 +133,8 @@
         int attempts { 0 };
         bool isInFlight { false };
         bool mayHaveTakenEffect { false }; // some attempt had no answer and may have taken effect
+
+        bool mayBeDone() const { return mayHaveTakenEffect || isInFlight; }
     };
 
     void operatorsChanged()
@@ -396,14 +410,18 @@
     void expire(std::uint64_t id)
     {
         auto& pending = m_calls.at(id);
-        const bool mayHaveTakenEffect = pending.mayHaveTakenEffect || pending.isInFlight;
         const auto now = m_loop.now();
         // Another attempt can still determine the outcome of the call, which the caller cannot.
-        if (mayHaveTakenEffect && now + Duration(s_retryMs) < pending.latest) {
+        if (pending.mayBeDone() && now + Duration(s_retryMs) < pending.latest) {
             pending.timer = m_loop.after(pending.latest - now, [this, id] { expire(id); });
             return;
         }
-        finish(id, { mayHaveTakenEffect ? CallResult::Kind::Unknown : CallResult::Kind::NotReached, {} });
+        finishUnanswered(id);
+    }
+
+    void finishUnanswered(std::uint64_t id)
+    {
+        finish(id, { m_calls.at(id).mayBeDone() ? CallResult::Kind::Unknown : CallResult::Kind::NotReached, {} });
     }
 
     void finish(std::uint64_t id, CallResult result)
@@ -552,6 +570,7 @@
     std::optional<Ownership> m_pendingOwnership;
     std::map<std::uint64_t, PendingCall> m_calls;
     std::uint64_t m_nextCall { 1 };
+    bool m_areCallsFinished { false };
     std::map<CallToken, ServeCallback> m_tokens;
     std::uint64_t m_nextToken { 1 };
 };
--- a/unittests/Entry/ForwardedCallsTest.cpp
+++ b/unittests/Entry/ForwardedCallsTest.cpp
@@ -87,5 +87,42 @@
         EXPECT_EQ(attempts.size(), 2u);
     }
 
+    // Guards against callers that get no answer from an instance that stops: calls that no coordinator has answered end
+    // with what is known about them, and later ones at once.
+    TEST_F(ForwardedCalls, CallsAreFinishedWhenTheInstanceStops)
+    {
+        unansweredAttempts = 1;
+        const auto call = [this](FleetCallRequest::Kind kind, std::vector<CallResult>& results) {
+            FleetCallRequest request { kind, {} };
+            request.job.id = JobId("a");
+            node.call(std::move(request), Duration(60000),
+                [&results](const CallResult& answer) { results.push_back(answer); });
+        };
+        std::vector<CallResult> forwarded;
+        call(FleetCallRequest::Kind::Submit, forwarded);
+        loop.runUntil([this] { return attempts.size() == 1; });
+        node.finishCalls();
+        ASSERT_EQ(forwarded.size(), 1u);
+        EXPECT_EQ(forwarded[0].kind, CallResult::Kind::Unknown);
+        std::vector<CallResult> later;
+        call(FleetCallRequest::Kind::JobStatus, later);
+        ASSERT_EQ(later.size(), 1u);
+        EXPECT_EQ(later[0].kind, CallResult::Kind::NotReached);
+        EXPECT_EQ(attempts.size(), 1u);
+    }
+
+    // A call without a coordinator has had no effect.
+    TEST_F(ForwardedCalls, ACallThatReachedNoCoordinatorIsFinishedAsNotReached)
+    {
+        FleetNode<ScriptedPlatform> alone(loop, platform, settings(), {});
+        std::vector<CallResult> results;
+        alone.call({ FleetCallRequest::Kind::Submit, {} }, Duration(60000),
+            [&results](const CallResult& answer) { results.push_back(answer); });
+        EXPECT_TRUE(results.empty());
+        alone.finishCalls();
+        ASSERT_EQ(results.size(), 1u);
+        EXPECT_EQ(results[0].kind, CallResult::Kind::NotReached);
+    }
+
 } // namespace
 } // namespace marigoldlink
