Do not become the coordinator after a request to stop

A process that got SIGTERM between opening the lease of its campaign and writing the owner record wrote the record nevertheless and gave the lease back after that. Until then other instances saw an owner that serves no call, so their callers waited or got 503, and the new term had no marker of a resignation, for which its successor waits 4 s before it places tasks of workers that do not answer.

The campaign now ends its lease and writes nothing once the process has stepped down. Both tests failed before: the write was sent in both cases.

--- a/include/marigoldlink/Entry/Election.h
+++ b/include/marigoldlink/Entry/Election.h
@@ -175,6 +175,11 @@
                 campaignAgainLater();
                 return;
             }
+            if (m_hasSteppedDown) {
+                m_platform.endLease(result.lease);
+                m_isCampaigning = false;
+                return;
+            }
             // With a slow service the lease must outlive the calls that precede the first renewal.
             const auto needed = m_limits.ttl + (m_loop.now() - m_renewedAt) * s_callsBeforeRenewal;
             if (needed > ttl * 2) {
@@ -183,7 +188,7 @@
                 return;
             }
             m_platform.range(records::head, [this, lease = result.lease](const RangeResult& head) {
-                if (head.status != StoreStatus::Ok) {
+                if (head.status != StoreStatus::Ok || m_hasSteppedDown) {
                     m_platform.endLease(lease);
                     campaignAgainLater();
                     return;
--- a/unittests/Entry/ElectionTest.cpp
+++ b/unittests/Entry/ElectionTest.cpp
@@ -79,6 +79,33 @@
         EXPECT_TRUE(resignsWithMarker());
     }
 
+    // Guards against an owner that serves no call: a process that was told to stop during its campaign wrote its owner
+    // record nevertheless, and callers had no coordinator until the lease of that record had ended.
+    TEST_F(Resignation, AProcessThatStopsBeforeItsLeaseIsOpenDoesNotBecomeTheOwner)
+    {
+        m_election.start();
+        m_platform.answer(records::owner, StoreStatus::Ok, Revision(7));
+        ASSERT_EQ(m_platform.leases.size(), 1u);
+        m_election.stepDown();
+        m_platform.leases.front()({ LeaseStatus::Valid, StoreLease(1), Duration(1200) });
+        m_platform.answer(records::head, StoreStatus::Ok, Revision(7), head());
+        EXPECT_TRUE(m_platform.writes.empty());
+        EXPECT_EQ(m_platform.endedLeases, std::vector { StoreLease(1) });
+    }
+
+    // Guards against the same for a process that was told to stop while it read the journal's head.
+    TEST_F(Resignation, AProcessThatStopsBeforeItHasReadTheHeadDoesNotBecomeTheOwner)
+    {
+        m_election.start();
+        m_platform.answer(records::owner, StoreStatus::Ok, Revision(7));
+        ASSERT_EQ(m_platform.leases.size(), 1u);
+        m_platform.leases.front()({ LeaseStatus::Valid, StoreLease(1), Duration(1200) });
+        m_election.stepDown();
+        ASSERT_TRUE(m_platform.answer(records::head, StoreStatus::Ok, Revision(7), head()));
+        EXPECT_TRUE(m_platform.writes.empty());
+        EXPECT_EQ(m_platform.endedLeases, std::vector { StoreLease(1) });
+    }
+
     // Guards against an entry instance that serves no call (review/11): an owner that saw its successor's record before
     // its own renewal was refused forgot the successor until the next election.
     TEST_F(KnownOwner, IsTheSuccessorOnceItsRecordIsReported)
--- a/unittests/Entry/ScriptedPlatform.h
+++ b/unittests/Entry/ScriptedPlatform.h
@@ -22,6 +22,7 @@
     };
     std::deque<Write> writes; // unanswered, oldest first
     std::deque<StoreLeaseCallback> leases; // leases being opened, oldest first
+    std::vector<StoreLease> endedLeases;
 
     // Answers the oldest read of the prefix. Returns false if there is none.
     bool answer(const std::string& prefix, StoreStatus status, Revision revision, std::vector<StoredValue> values = {})
@@ -50,7 +51,7 @@
     }
     void openLease(Duration, StoreLeaseCallback callback) { leases.push_back(std::move(callback)); }
     void renewLease(StoreLease, StoreLeaseCallback) { }
-    void endLease(StoreLease) { }
+    void endLease(StoreLease lease) { endedLeases.push_back(lease); }
 
     std::string operatorPrefix() const { return "operators/"; }
     std::string workerPrefix() const { return "workers/"; }
