--- a/unittests/Transport/HttpClientTest.cpp
+++ b/unittests/Transport/HttpClientTest.cpp
@@ -193,6 +193,111 @@
     EXPECT_EQ(client.endpointCount(), 1u);
 }
 
+// A peer that answers one request on each connection, as long as it is told to, and then ends the connection.
+class ClosingPeer {
+public:
+    enum class End { Close, HalfClose, Reset, UnansweredClose };
+
+    // The n-th connection is served and ended by the n-th entry; later ones are answered and kept.
+    explicit ClosingPeer(std::vector<End> ends)
+        : m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+        , m_ends(std::move(ends))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        ::bind(m_listener, reinterpret_cast<sockaddr*>(&address), length);
+        ::listen(m_listener, 8);
+        ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length);
+        m_endpoint = { "127.0.0.1", ntohs(address.sin_port) };
+        m_thread = std::thread([this] { serve(); });
+    }
+
+    ~ClosingPeer()
+    {
+        ::shutdown(m_listener, SHUT_RDWR);
+        m_thread.join();
+        ::close(m_listener);
+        for (const int each : m_kept)
+            ::close(each);
+    }
+
+    const Endpoint& endpoint() const { return m_endpoint; }
+
+private:
+    void serve()
+    {
+        const std::string answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+        for (std::size_t number = 0;; ++number) {
+            const int connection = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+            if (connection < 0)
+                return;
+            std::string request;
+            char buffer[4096];
+            while (request.find("\r\n\r\n") == std::string::npos) {
+                const auto size = ::recv(connection, buffer, sizeof(buffer), 0);
+                if (size <= 0)
+                    break;
+                request.append(buffer, static_cast<std::size_t>(size));
+            }
+            const auto end = number < m_ends.size() ? std::optional(m_ends[number]) : std::nullopt;
+            if (end != End::UnansweredClose)
+                ::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+            if (!end) {
+                m_kept.push_back(connection);
+            } else if (*end == End::HalfClose) {
+                ::shutdown(connection, SHUT_WR);
+                m_kept.push_back(connection);
+            } else {
+                if (*end == End::Reset) {
+                    std::this_thread::sleep_for(Duration(20)); // a reset would discard an answer that was not read
+                    const linger reset { 1, 0 };
+                    ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+                }
+                ::close(connection);
+            }
+        }
+    }
+
+    int m_listener;
+    std::vector<End> m_ends;
+    std::vector<int> m_kept;
+    Endpoint m_endpoint;
+    std::thread m_thread;
+};
+
+// Guards against calls that are lost on a kept connection which the peer has ended: an instance that stops closes all
+// of them, and a call that was written on one has no known outcome.
+TEST(HttpClientConnections, AConnectionThatThePeerHasEndedIsNotUsedAgain)
+{
+    using End = ClosingPeer::End;
+    for (const auto end : { End::Close, End::HalfClose, End::Reset }) {
+        EventLoop loop;
+        ClosingPeer peer({ end });
+        HttpClient client(loop);
+        for (int i = 0; i < 2; ++i) {
+            std::optional<HttpResult> result;
+            client.send(peer.endpoint(), {}, [&result](const HttpResult& ended) { result = ended; });
+            loop.runUntil([&result] { return result.has_value(); });
+            EXPECT_TRUE(result->isOk()) << "call " << i << ", end " << static_cast<int>(end);
+            std::this_thread::sleep_for(Duration(60)); // the loop does not see the end of the connection
+        }
+    }
+}
+
+// Guards against a call that is taken for one without effect: the peer had read it when it ended the connection.
+TEST(HttpClientConnections, ACallWhoseConnectionEndsWithoutAnAnswerMayHaveTakenEffect)
+{
+    EventLoop loop;
+    ClosingPeer peer({ ClosingPeer::End::UnansweredClose });
+    HttpClient client(loop);
+    std::optional<HttpResult> result;
+    client.send(peer.endpoint(), {}, [&result](const HttpResult& ended) { result = ended; });
+    loop.runUntil([&result] { return result.has_value(); });
+    EXPECT_EQ(result->kind, HttpResult::Kind::Lost);
+}
+
 // Guards against a loop that never returns: a client that was destroyed left its timers in the lists of the event loop,
 // and the next client was allocated in its place.
 TEST(HttpClientEndpoints, AClientLeavesNothingInTheLoopWhenItIsDestroyed)
