Remove the registration of an instance that stops

Callers waited up to 0.44 s for a coordinator, in up to three gaps, when the largest instance of a fleet stopped as the coordinator. Its registration outlived it, so each smaller instance delayed its campaign by 300 ms in its favour, and the successor resigned a second after its election to hand over to it.

The instance now removes its registration when it steps down. The removal expects the revision of its own registration, so that a late one does not remove that of a later process at the same address. The registration of a process that was killed remains, as before. Both tests failed before.

--- a/include/marigoldlink/Coordination/CoordinatorPreference.h
+++ b/include/marigoldlink/Coordination/CoordinatorPreference.h
@@ -1,7 +1,8 @@
 // Preference among entry instances of different size for the role of coordinator. An instance with more processor time
 // campaigns earlier, and a coordinator on a small instance hands over to a larger one that has registered.
 //
-// This is only a preference: the election decides. A member may no longer exist, since its record outlives it.
+// This is only a preference: the election decides. A member may no longer exist: the record of a process that was
+// killed outlives it.
 #pragma once
 
 #include "marigoldlink/State/Records.h"
--- a/include/marigoldlink/Entry/FleetNode.h
+++ b/include/marigoldlink/Entry/FleetNode.h
@@ -73,7 +73,12 @@
     }
 
     // Resigns as coordinator and campaigns no more. Callers' calls are still served.
-    void stepDown() { m_election.stepDown(); }
+    void stepDown()
+    {
+        m_hasSteppedDown = true;
+        deregisterMember();
+        m_election.stepDown();
+    }
 
     // Ends all open calls with what is known about them. Later calls are not passed on.
     void finishCalls()
@@ -253,15 +258,35 @@
 
     void registerMember()
     {
+        if (m_hasSteppedDown)
+            return;
         StoreWrite call;
-        call.puts
-            = { { s_memberPrefix + m_settings.peers.text(), encodeMember(m_settings.processors), StoreLease::None } };
+        call.puts = { { memberKey(), encodeMember(m_settings.processors), StoreLease::None } };
         m_platform.write(call, [this](const StoreWriteResult& result) {
-            if (result.status != StoreWriteStatus::Done)
+            if (result.status != StoreWriteStatus::Done) {
                 m_loop.after(Duration(s_registerRetryMs), [this] { registerMember(); });
+                return;
+            }
+            m_memberRevision = result.revision;
+            if (m_hasSteppedDown)
+                deregisterMember();
         });
     }
 
+    // Otherwise smaller instances delay their campaign, and hand over, in favour of an instance that does not campaign.
+    void deregisterMember()
+    {
+        if (m_memberRevision == noRevision)
+            return;
+        StoreWrite call;
+        call.expected = { { memberKey(), m_memberRevision } }; // a later process may have registered at this address
+        call.removals = { memberKey() };
+        // If the call fails, the record remains, as that of a process which was killed does.
+        m_platform.write(call, [](const StoreWriteResult&) {});
+    }
+
+    std::string memberKey() const { return s_memberPrefix + m_settings.peers.text(); }
+
     // Queries peers in rotation for the coordinator and the operators' records, at a limited rate.
     void queryPeers()
     {
@@ -560,6 +585,8 @@
     StoreFollower<Platform> m_operatorFollower;
     StoreFollower<Platform> m_memberFollower;
     CoordinatorPreference m_preference;
+    Revision m_memberRevision { noRevision }; // of the own registration; noRevision until the store has confirmed it
+    bool m_hasSteppedDown { false };
     Election<Platform> m_election;
     TimePoint m_nextPeerQuery; // of peers
     bool m_areKeysCurrent { true }; // as last logged
--- a/unittests/Entry/StepDownTest.cpp
+++ b/unittests/Entry/StepDownTest.cpp
@@ -84,6 +84,24 @@
             m_peer.send(m_endpoint, std::move(call), [&result](const HttpResult& ended) { result = ended; });
         }
 
+        // The store answers the registration of the instance, which is the first write.
+        void registered(Revision revision)
+        {
+            const auto callback = std::move(m_platform.writes.front().callback);
+            m_platform.writes.pop_front();
+            callback({ StoreWriteStatus::Done, revision });
+        }
+
+        // Whether the registration is being removed, unless it is a later one than that of the given revision.
+        bool isRemoved(Revision revision) const
+        {
+            const auto key = "marigold/member/" + m_endpoint.text();
+            return std::any_of(m_platform.writes.begin(), m_platform.writes.end(), [&](const auto& each) {
+                return each.write.removals == std::vector { key }
+                && each.write.expected == std::vector { std::pair(key, revision) };
+            });
+        }
+
         void awaitJournalWrite()
         {
             m_loop.runUntil([this] { return m_platform.writes.size() > m_writesBefore; });
@@ -135,5 +153,22 @@
         EXPECT_EQ(result->kind, CallResult::Kind::Unknown);
     }
 
+    // Guards against elections that wait for an instance that stops, and against a successor that resigns in its favour
+    // a second later: its registration outlived it.
+    TEST_F(StepDown, RemovesTheRegistration)
+    {
+        registered(Revision(12));
+        m_node.stepDown();
+        EXPECT_TRUE(isRemoved(Revision(12)));
+    }
+
+    // Guards against the same for an instance that stops soon after its start.
+    TEST_F(StepDown, RemovesARegistrationThatIsAnsweredLater)
+    {
+        m_node.stepDown();
+        registered(Revision(12));
+        EXPECT_TRUE(isRemoved(Revision(12)));
+    }
+
 } // namespace
 } // namespace marigoldlink
