Acquire no escrow after a stopping entry has returned it

What was seen: a stopping entry that was still handing over its claims held escrow again some 100 ms after it had returned all of it.

Cause: EscrowSync knew that escrow was being returned only until the last record was written. The next periodic sync of a team then acquired its baseline again.

releaseAll() now sets a state that lasts, in which the wanted amount is zero. An instance that releases never serves again, so nothing has to reset it.

--- a/test/PlannedStopTest.cpp
+++ b/test/PlannedStopTest.cpp
@@ -7,6 +7,14 @@
 
 namespace marigoldlink::testing {
 
+namespace {
+
+    constexpr Duration s_exitTimeout { 20000 };
+    // Shorter than the time after which a silent member is removed.
+    constexpr Duration s_escrowWatchTime { 1000 };
+
+} // namespace
+
 TEST(PlannedStop, InterruptsNoRequestAndHandsOver)
 {
     ClusterOptions options;
@@ -50,4 +58,35 @@
     EXPECT_EQ(repeated.status, 409) << repeated.body;
 }
 
+// Guards against a stopping entry that acquires escrow again after it has returned it, while its claims are handed
+// over.
+TEST(PlannedStop, AcquiresNoEscrowAfterReturningIt)
+{
+    ClusterOptions options;
+    options.dataCenters = { "one", "two" };
+    Cluster cluster(options);
+    auto& entry = cluster.entries[0];
+    const auto holder = std::to_string(cluster.status(0).at("holder").get<std::uint64_t>());
+    const auto heldSlots = [&] {
+        Slots sum = 0;
+        const auto range = cluster.get(cluster.platforms.back(), "/range?prefix=escrow/");
+        for (const auto& item : range.at("items"))
+            sum += Json::parse(item.at("value").get<std::string>()).at("held").value(holder, Slots { 0 });
+        return sum;
+    };
+    cluster.waitUntil("the entry holds escrow", [&] { return heldSlots() > 0; });
+    // Its claims cannot be handed over meanwhile.
+    cluster.partition("one", false);
+    entry.process.signal(SIGTERM);
+    cluster.waitUntil("the entry has returned its escrow", [&] { return heldSlots() == 0; });
+    const auto end = cluster.loop.now() + s_escrowWatchTime;
+    while (cluster.loop.now() < end) {
+        ASSERT_EQ(heldSlots(), 0);
+        cluster.runFor(Duration(20));
+    }
+    EXPECT_EQ(entry.process.state(), "running");
+    cluster.heal();
+    EXPECT_EQ(entry.process.waitForExit(s_exitTimeout), 0) << entry.process.log();
+}
+
 } // namespace marigoldlink::testing
--- a/tools/marigold-entry/EscrowSync.cpp
+++ b/tools/marigold-entry/EscrowSync.cpp
@@ -51,6 +51,7 @@
 
 void EscrowSync::releaseAll(std::function<void()> done)
 {
+    m_isReleasing = true;
     m_onAllReleased = std::move(done);
     for (const auto& [team, account] : m_holder->accounts())
         scheduleSync(team);
@@ -78,7 +79,7 @@
 {
     auto& sync = m_syncs[team];
     const auto held = m_holder->held(team);
-    const bool isWanted = m_onAllReleased ? held > 0 : shouldWriteEscrow(held, m_currentDemand(team));
+    const bool isWanted = m_isReleasing ? held > 0 : shouldWriteEscrow(held, m_currentDemand(team));
     const auto account = m_holder->accounts().find(team);
     const bool isOver = account != m_holder->accounts().end() && account->second.isOverCommitted;
     const bool isLimitNew = held > 0 && sync.limit != m_currentLimit(team).upperLimit;
@@ -132,7 +133,7 @@
         finishSync(team, s_failureBackoff);
         return;
     }
-    const auto wanted = m_onAllReleased ? 0 : targetAmount(m_currentDemand(team));
+    const auto wanted = m_isReleasing ? 0 : targetAmount(m_currentDemand(team));
     const auto isMember = [this](HolderId holder) { return m_membership.record().find(holder) != nullptr; };
     const auto proposal = m_holder->propose(team, current, limit, wanted, isMember);
     if (!proposal) {
--- a/tools/marigold-entry/EscrowSync.h
+++ b/tools/marigold-entry/EscrowSync.h
@@ -28,7 +28,7 @@
     // Schedules a check of the team. Call it when the demand or the limit of the team has changed.
     void scheduleSync(const TeamId&);
 
-    // Returns all escrow, then calls done. No task may be running.
+    // Returns all escrow, then calls done. No task may be running. No escrow is acquired from now on.
     void releaseAll(std::function<void()> done);
 
     // Restarts without escrow. Called after a new holder id was assigned.
@@ -58,6 +58,7 @@
     std::map<TeamId, Sync> m_syncs;
     std::set<TeamId> m_scheduledTeams;
     int m_callsInFlight { 0 };
+    bool m_isReleasing { false }; // since releaseAll()
     std::function<void()> m_onChange;
     std::function<void()> m_onAllReleased;
 };
