End a stopping entry once its connections are closed

What callers saw around a planned stop of marigold-entry: each client that kept its connection lost its last request, an answer larger than the socket buffers was cut although its task had run, pipelined requests were dropped, and a request whose body came late got no answer. No answer told clients to leave.

Cause: Entry::stop() waited for the number of open calls and queued jobs. That number has neither the requests that are unread, read in part or pipelined, nor the answers that were handed to the HTTP library and not sent to their last byte.

The entry now drains its connections from the end of the notice on, keeps its listener open for peers until it has left the member record, and ends once no connection is left.

--- a/tools/marigold-entry/Entry.cpp
+++ b/tools/marigold-entry/Entry.cpp
@@ -1,6 +1,7 @@
 // Composition and life cycle of an entry instance.
 #include "Entry.h"
 
+#include "../common/ConnectionDrain.h"
 #include "../common/Jitter.h"
 #include "marigoldlink/Coordination/Rendezvous.h"
 #include "marigoldlink/Protocol/RecordCodec.h"
@@ -325,7 +326,11 @@
         return;
     s_log.info("Stopping: reporting not ready.");
     m_stage = Stage::Draining;
-    // The load balancer needs time to observe the health check. Requests that arrive meanwhile are still served.
+    // The load balancer needs time to observe the health check. Requests that arrive meanwhile are still served, and
+    // the last ones tell their clients to leave. The listener stays open, since peers call this process until it has
+    // handed over its claims.
+    m_loop.after(m_settings.drainNotice - std::min(drainIdleTime, m_settings.drainNotice / 2),
+        [this] { m_guard.drain(ListenerKind::Callers, drainIdleTime); });
     m_loop.after(m_settings.drainNotice, [this] {
         m_callers->stopAccepting();
         waitUntilDrained();
@@ -351,13 +356,19 @@
 void Entry::waitUntilHandedOver()
 {
     if (m_peers->hasHandedOver()) {
-        m_membership->leave([this] {
-            s_log.info("Stopped.");
-            m_loop.stop();
-        });
+        m_membership->leave([this] { closeConnections(); });
         return;
     }
     m_loop.after(s_drainPollPeriod, [this] { waitUntilHandedOver(); });
 }
 
+void Entry::closeConnections()
+{
+    m_server.stopListening();
+    waitForConnections(m_loop, m_guard, ListenerKind::Callers, [this] {
+        s_log.info("Stopped.");
+        m_loop.stop();
+    });
+}
+
 } // namespace marigoldlink
--- a/tools/marigold-entry/Entry.h
+++ b/tools/marigold-entry/Entry.h
@@ -19,7 +19,7 @@
     Endpoint start();
 
     // Graceful shutdown: reports not ready, finishes all requests, hands over claims, returns escrow, and stops the
-    // event loop.
+    // event loop once the connections of all clients have ended.
     void stop();
 
 private:
@@ -40,6 +40,7 @@
     void waitUntilDrained();
     void handOver();
     void waitUntilHandedOver();
+    void closeConnections();
 
     EventLoop& m_loop;
     EntrySettings m_settings;
