Answer the requests of a keeper's clients before it ends

What clients of marigold-keeper saw: each client that polled /status on a kept connection lost its last request when the keeper stopped.

Cause: SIGTERM stopped the event loop at once.

The keeper now closes its listener, drains its connections and ends once none is left, within the same bound as an entry. Meanwhile it plans no further changes and does not renew its leadership.

--- a/test/Cluster.cpp
+++ b/test/Cluster.cpp
@@ -280,7 +280,7 @@
     const auto config = writeFile(
         "keeper.toml", "listen = \"127.0.0.1:0\"\nplatform = \"" + platforms.front().text() + "\"\n" + settings);
     keepers.emplace_back("marigold-keeper", std::vector<std::string> { "--config", config }, newLogPath("keeper"));
-    keepers.back().waitForLines("listening", 1);
+    keeperEndpoints.push_back(Endpoint::parse(keepers.back().waitForLines("listening", 1).front()));
 }
 
 std::pair<int, std::string> Cluster::runMarigoldctl(std::vector<std::string> arguments)
--- a/test/Cluster.h
+++ b/test/Cluster.h
@@ -144,6 +144,7 @@
     std::vector<EntryProcess> entries;
     std::vector<WorkerProcess> workers;
     std::vector<Process> keepers;
+    std::vector<Endpoint> keeperEndpoints;
 
 private:
     std::string newLogPath(const std::string& name);
--- a/test/PlannedStopTest.cpp
+++ b/test/PlannedStopTest.cpp
@@ -52,6 +52,8 @@
             + "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
+    std::string statusRequest(const std::string&) { return "GET /status HTTP/1.1\r\nhost: keeper\r\n\r\n"; }
+
     // A request without a whole response.
     struct LostRequest {
         std::string id;
@@ -331,4 +333,12 @@
     EXPECT_EQ(entry.process.waitForExit(s_exitTimeout), 0) << entry.process.log();
 }
 
+// Guards against a keeper that ends at once and drops the requests that it has read or not read yet.
+TEST(PlannedStop, KeeperAnswersEveryRequestOnKeptConnections)
+{
+    Cluster cluster(twoEntries());
+    const auto reports = runClientsUntilExit(cluster, cluster.keepers[0], cluster.keeperEndpoints[0], statusRequest);
+    expectNothingLost(reports, {});
+}
+
 } // namespace marigoldlink::testing
--- a/tools/marigold-keeper/Keeper.cpp
+++ b/tools/marigold-keeper/Keeper.cpp
@@ -1,6 +1,7 @@
 // Planning cycles of the keeper.
 #include "Keeper.h"
 
+#include "../common/ConnectionDrain.h"
 #include "../common/Jitter.h"
 #include "marigoldlink/Coordination/ApiKeyStore.h"
 #include "marigoldlink/Protocol/RecordCodec.h"
@@ -60,8 +61,23 @@
     return endpoint;
 }
 
+void Keeper::stop()
+{
+    if (std::exchange(m_isStopping, true))
+        return;
+    s_log.info("Stopping.");
+    m_server.stopListening();
+    m_guard.drain(ListenerKind::Internal, drainIdleTime);
+    waitForConnections(m_loop, m_guard, ListenerKind::Internal, [this] {
+        s_log.info("Stopped.");
+        m_loop.stop();
+    });
+}
+
 void Keeper::round()
 {
+    if (m_isStopping)
+        return;
     renewLeadership();
     if (isLeader() && m_config.spec()) {
         probeInstances();
@@ -70,7 +86,7 @@
     m_loop.after(jittered(m_settings.round), [this] { round(); });
 }
 
-bool Keeper::isLeader() const { return m_isLeader; }
+bool Keeper::isLeader() const { return m_isLeader && !m_isStopping; }
 
 // Renews the leadership lease by compare-and-swap, or takes it over if its value did not change for a full lease time.
 void Keeper::renewLeadership()
--- a/tools/marigold-keeper/Keeper.h
+++ b/tools/marigold-keeper/Keeper.h
@@ -16,6 +16,9 @@
 
     Endpoint start();
 
+    // Plans no further changes, and stops the event loop once the connections of all clients have ended.
+    void stop();
+
 private:
     struct Drain {
         std::uint64_t epoch { 0 };
@@ -58,6 +61,7 @@
     std::string m_leaderValue;
     TimePoint m_leaderValueChangedAt;
     bool m_isLeader { false };
+    bool m_isStopping { false };
     std::uint64_t m_leaderRenewals { 0 };
     std::string m_name;
     std::map<std::string, std::uint64_t> m_changes;
--- a/tools/marigold-keeper/main.cpp
+++ b/tools/marigold-keeper/main.cpp
@@ -15,7 +15,7 @@
             EventLoop loop;
             Keeper keeper(loop, settings);
             std::cout << "listening " << keeper.start().text() << std::endl;
-            loop.onTerminate([&loop] { loop.stop(); });
+            loop.onTerminate([&keeper] { keeper.stop(); });
             loop.run();
         });
 }
