Do not end a connection with an unread request to make room

At the limit of connections, clients that connected together and sent a request at once were reset: each connection that was accepted replaced the one before, as that one had served no request. Its request was still in the kernel's buffer. Of eight such clients one had an answer. In the same way a client on its first connection lost an answer that was half sent, although others were idle.

A connection with bytes that h2o is about to read is no longer replaced, and one with an unsent answer only if no other can be. ABurstOfNewConnectionsReplacesIdleOnes and AConnectionWithAHalfSentAnswerIsNotReplaced failed before.

--- a/lib/Transport/ConnectionGuard.cpp
+++ b/lib/Transport/ConnectionGuard.cpp
@@ -14,6 +14,7 @@
 #include <string>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -344,17 +345,27 @@
     }
 
     // The connection that is closed to make room for a new one: without a request so far, or idle for the longest time.
+    // A request that is about to be read is not lost for a new connection, and an answer only if nothing else can end.
     template <typename Predicate> Connection* leastUseful(const Predicate& isCandidate)
     {
         Connection* found = nullptr;
-        const auto rank = [](const Connection& each) { return std::make_pair(each.hasServed, each.since); };
+        const auto rank = [](const Connection& each) {
+            return std::make_tuple(each.phase == Phase::Answering, each.hasServed, each.since);
+        };
         for (const auto& [key, connection] : connections) {
-            if (connection->canEnd() && isCandidate(*connection) && (!found || rank(*connection) < rank(*found)))
+            if (connection->canEnd() && isCandidate(*connection) && (!found || rank(*connection) < rank(*found))
+                && !hasUnread(*connection))
                 found = connection.get();
         }
         return found;
     }
 
+    // The client has sent bytes that h2o will read in the next iteration.
+    static bool hasUnread(const Connection& connection)
+    {
+        return connection.socket->_cb.read && queueBytes(connection.socket, SIOCINQ) > 0;
+    }
+
     // Ends the connection with a reset, which also discards what the kernel holds for it.
     void end(Connection& connection, Limit limit)
     {
--- /dev/null
+++ b/unittests/Transport/ConnectionEndsTest.cpp
@@ -0,0 +1,184 @@
+// Tests that connections with a request that was sent whole, or an answer that is half sent, are not ended to make
+// room.
+#include "marigoldlink/Transport/ConnectionGuard.h"
+#include "marigoldlink/Transport/HttpServer.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace marigoldlink {
+namespace {
+
+    const std::string s_request = "POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n{}";
+
+    class ConnectionEnds : public testing::Test {
+    protected:
+        ~ConnectionEnds() override
+        {
+            for (const int each : m_sockets)
+                ::close(each);
+            runFor(Duration(50)); // the server disposes of its connections before the guard ends
+        }
+
+        static ConnectionLimits limitsOf(std::size_t connections)
+        {
+            ConnectionLimits limits;
+            limits.connections = connections;
+            limits.connectionsPerAddress = connections;
+            return limits;
+        }
+
+        void start(ConnectionLimits limits, Duration idleTime = Duration(10000), std::string answer = "{}")
+        {
+            m_answer = std::move(answer);
+            limits.idleTime = idleTime;
+            m_guard = std::make_unique<ConnectionGuard>(m_loop, limits, [](Limit) {});
+            const HttpServer::Limits server { 262144, idleTime, m_guard.get(), ListenerKind::Callers };
+            m_server = std::make_unique<HttpServer>(
+                m_loop, server, [this](const HttpRequest&, const HttpResponderPtr& responder) {
+                    responder->send({ 200, m_answer, "text/plain", {} });
+                });
+            m_endpoint = m_server->listen({ "127.0.0.1", 0 });
+        }
+
+        int connect(int receiveBuffer = 0)
+        {
+            const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+            if (receiveBuffer)
+                ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+            sockaddr_in address {};
+            address.sin_family = AF_INET;
+            address.sin_port = htons(m_endpoint.port);
+            ::inet_pton(AF_INET, m_endpoint.address.c_str(), &address.sin_addr);
+            EXPECT_EQ(::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+            m_sockets.push_back(socket);
+            return socket;
+        }
+
+        // Does not run the loop.
+        static void send(int socket, std::string_view text)
+        {
+            EXPECT_EQ(::send(socket, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
+        }
+
+        // Whether a whole answer arrives within a second.
+        bool isAnswered(int socket)
+        {
+            std::string text;
+            bool isEnded = false;
+            const auto isWhole = [&] {
+                const auto head = text.find("\r\n\r\n");
+                return head != std::string::npos && text.size() - head - 4 >= m_answer.size();
+            };
+            runUntil([&] {
+                char buffer[65536];
+                const auto received = ::recv(socket, buffer, sizeof(buffer), MSG_DONTWAIT);
+                if (received > 0)
+                    text.append(buffer, static_cast<std::size_t>(received));
+                else
+                    isEnded = received == 0 || errno != EAGAIN;
+                return isEnded || isWhole();
+            });
+            return isWhole();
+        }
+
+        // Connections that were served and wait for the next request.
+        std::vector<int> connectServed(int count)
+        {
+            std::vector<int> sockets;
+            for (int i = 0; i < count; ++i) {
+                sockets.push_back(connect());
+                send(sockets.back(), s_request);
+            }
+            for (const int each : sockets)
+                EXPECT_TRUE(isAnswered(each));
+            return sockets;
+        }
+
+        int countAnswered(const std::vector<int>& sockets)
+        {
+            return static_cast<int>(
+                std::count_if(sockets.begin(), sockets.end(), [this](int each) { return isAnswered(each); }));
+        }
+
+        template <typename Condition> bool runUntil(Condition condition)
+        {
+            const auto latest = m_loop.now() + Duration(1000);
+            if (!std::exchange(m_isTicking, true))
+                m_loop.every(Duration(2), [] {});
+            m_loop.runUntil([&] { return condition() || m_loop.now() >= latest; });
+            return condition();
+        }
+
+        void runFor(Duration time)
+        {
+            const auto until = m_loop.now() + time;
+            runUntil([&] { return m_loop.now() >= until; });
+        }
+
+        EventLoop m_loop;
+        std::unique_ptr<ConnectionGuard> m_guard;
+        std::unique_ptr<HttpServer> m_server;
+        std::vector<int> m_sockets;
+        std::string m_answer;
+        Endpoint m_endpoint;
+        bool m_isTicking { false };
+    };
+
+    // Guards against new clients that end each other: at the limit of connections each one that was accepted replaced
+    // the one before, whose request was not read yet.
+    TEST_F(ConnectionEnds, ABurstOfNewConnectionsReplacesIdleOnes)
+    {
+        start(limitsOf(16)); // 12 for callers
+        connectServed(12);
+        std::vector<int> burst;
+        for (int i = 0; i < 8; ++i) {
+            burst.push_back(connect());
+            send(burst.back(), s_request);
+        }
+        EXPECT_EQ(countAnswered(burst), 8);
+    }
+
+    // Guards against a request that is lost because its connection was idle the longest when a new one was accepted.
+    TEST_F(ConnectionEnds, AConnectionWithAnUnreadRequestIsNotReplaced)
+    {
+        start(limitsOf(16)); // 12 for callers
+        const auto served = connectServed(12);
+        const int added = connect();
+        send(served.front(), s_request);
+        send(added, s_request);
+        EXPECT_TRUE(isAnswered(served.front()));
+        EXPECT_TRUE(isAnswered(added));
+    }
+
+    // Guards against an answer that is cut to make room while other connections are idle.
+    TEST_F(ConnectionEnds, AConnectionWithAHalfSentAnswerIsNotReplaced)
+    {
+        start(limitsOf(16), Duration(10000), std::string(600000, 'a')); // 12 for callers
+        connectServed(11);
+        const int slow = connect(4096);
+        send(slow, s_request);
+        runFor(Duration(50));
+        send(connect(), s_request);
+        runFor(Duration(50));
+        EXPECT_TRUE(isAnswered(slow));
+    }
+
+    // Guards against clients that lock out others by reading nothing.
+    TEST_F(ConnectionEnds, AConnectionWithAHalfSentAnswerIsReplacedIfNoneIsIdle)
+    {
+        start(limitsOf(16), Duration(10000), std::string(600000, 'a')); // 12 for callers
+        for (int i = 0; i < 12; ++i)
+            send(connect(4096), s_request);
+        runFor(Duration(50));
+        const int added = connect();
+        send(added, s_request);
+        EXPECT_TRUE(isAnswered(added));
+    }
+
+} // namespace
+} // namespace marigoldlink
