Judge the times of a connection by what has arrived

After a pause of the process longer than the rest of a connection's idle time or header time, requests that had arrived whole were lost if more than 256 connections had sent something: the event loop reads from 256 of them in one iteration and then runs its timers. Of 400 clients 256 had an answer. The idle time also ended a request whose first bytes had arrived before its end, although the request's own time had not passed.

The guard now ends idle connections, without a reset, and ends neither these nor incomplete requests while there are bytes to read. h2o's timer, which ran over both, is not used for the listeners with a guard. AHeaderThatArrivedDuringAPauseIsReadBeforeItsTimeIsJudged, ARequestThatArrivedDuringAPauseIsReadBeforeTheIdleTimeIsJudged and TheIdleTimeDoesNotEndARequestThatHasBegun failed before.

--- a/lib/Transport/ConnectionGuard.cpp
+++ b/lib/Transport/ConnectionGuard.cpp
@@ -385,6 +385,15 @@
         ::shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
     }
 
+    // h2o closes the connection, after what the kernel still sends.
+    void endIdle(Connection& connection)
+    {
+        if (!connection.socket->_cb.read)
+            return;
+        unwatch(connection);
+        connection.socket->_cb.read(connection.socket, s_endReason);
+    }
+
     // h2o replaces the read callback when it begins to read the next request.
     void watchAgain()
     {
@@ -488,9 +497,15 @@
         switch (connection.phase) {
         case Phase::Waiting:
             update(connection);
+            if (time > limits.idleTime && !hasUnread(connection))
+                endIdle(connection);
             break;
         case Phase::Reading:
             update(connection);
+            // After a pause of the process the rest may have arrived in time. The loop reads from a limited number of
+            // connections in one iteration.
+            if (hasUnread(connection))
+                break;
             if (time > limits.headerTime && !isHeaderComplete(connection))
                 end(connection, Limit::HeaderTime);
             else if (time > limits.bodyTime)
--- a/lib/Transport/HttpServer.cpp
+++ b/lib/Transport/HttpServer.cpp
@@ -21,6 +21,7 @@
     constexpr Log s_log("http");
 
     constexpr int s_listenBacklog = 1024;
+    constexpr std::uint64_t s_noTimeout = 86'400'000;
     constexpr int s_statusUnavailable = 503;
     // The request may have taken effect.
     constexpr int s_statusUnknown = 504;
@@ -277,7 +278,12 @@
 {
     h2o_config_init(&m_impl->config);
     m_impl->config.max_request_entity_size = limits.bodyBytes;
-    m_impl->config.http1.req_timeout = static_cast<std::uint64_t>(limits.requestTimeout.count());
+    // h2o's timer ends a connection whose request it has read in part, or not at all after a pause of the process. The
+    // guard judges these times by what has arrived.
+    if (limits.guard)
+        m_impl->config.http1.req_timeout = s_noTimeout;
+    else
+        m_impl->config.http1.req_timeout = static_cast<std::uint64_t>(limits.requestTimeout.count());
     // HTTP/2 streams have buffers of their own, which the guard does not see. No client needs it.
     m_impl->config.http1.upgrade_to_http2 = 0;
     m_impl->guard = limits.guard;
--- a/unittests/Transport/ConnectionEndsTest.cpp
+++ b/unittests/Transport/ConnectionEndsTest.cpp
@@ -1,5 +1,5 @@
-// Tests that connections with a request that was sent whole, or an answer that is half sent, are not ended to make
-// room.
+// Tests that connections with a request that was sent whole, or an answer that is half sent, are not ended to make room
+// or for a time that has passed.
 #include "marigoldlink/Transport/ConnectionGuard.h"
 #include "marigoldlink/Transport/HttpServer.h"
 
@@ -8,11 +8,14 @@
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace marigoldlink {
 namespace {
 
+    // More than the event loop reads from in one iteration.
+    constexpr int s_manyConnections = 400;
     const std::string s_request = "POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n{}";
 
     class ConnectionEnds : public testing::Test {
@@ -180,5 +183,70 @@
         EXPECT_TRUE(isAnswered(added));
     }
 
+    // Guards against whole requests that are lost after a pause of the process: the time for their headers had passed
+    // before the loop had read from all connections.
+    TEST_F(ConnectionEnds, AHeaderThatArrivedDuringAPauseIsReadBeforeItsTimeIsJudged)
+    {
+        auto limits = limitsOf(1000);
+        limits.headerTime = Duration(300);
+        start(limits);
+        std::vector<int> sockets;
+        for (int i = 0; i < s_manyConnections; ++i) {
+            sockets.push_back(connect());
+            send(sockets.back(), std::string_view(s_request).substr(0, 10));
+        }
+        runFor(Duration(100));
+        for (const int each : sockets)
+            send(each, std::string_view(s_request).substr(10));
+        std::this_thread::sleep_for(Duration(400));
+        EXPECT_EQ(countAnswered(sockets), s_manyConnections);
+    }
+
+    // Guards against whole requests that are lost after a pause of the process: the idle time of their connections had
+    // passed before the loop had read from all of them.
+    TEST_F(ConnectionEnds, ARequestThatArrivedDuringAPauseIsReadBeforeTheIdleTimeIsJudged)
+    {
+        start(limitsOf(1000), Duration(600));
+        const auto sockets = connectServed(s_manyConnections);
+        for (const int each : sockets)
+            send(each, s_request);
+        std::this_thread::sleep_for(Duration(700));
+        EXPECT_EQ(countAnswered(sockets), s_manyConnections);
+    }
+
+    // The same for a single connection, which the loop reads before its timers.
+    TEST_F(ConnectionEnds, ARequestThatArrivesAtTheEndOfTheIdleTimeIsServed)
+    {
+        start(limitsOf(16), Duration(300));
+        const auto sockets = connectServed(1);
+        runFor(Duration(200));
+        send(sockets.front(), s_request);
+        std::this_thread::sleep_for(Duration(200));
+        EXPECT_TRUE(isAnswered(sockets.front()));
+    }
+
+    // Guards against connections that are kept for ever.
+    TEST_F(ConnectionEnds, AnIdleConnectionIsEnded)
+    {
+        start(limitsOf(16), Duration(300));
+        const auto sockets = connectServed(2);
+        EXPECT_EQ(m_guard->connections(), 2U);
+        EXPECT_TRUE(runUntil([this] { return m_guard->connections() == 0; }));
+        char byte = 0;
+        EXPECT_EQ(::recv(sockets.front(), &byte, 1, MSG_DONTWAIT), 0) << "a reset could discard an answer";
+    }
+
+    // Guards against a request whose second part arrives after the idle time, although its own time has not passed.
+    TEST_F(ConnectionEnds, TheIdleTimeDoesNotEndARequestThatHasBegun)
+    {
+        start(limitsOf(16), Duration(300));
+        const auto sockets = connectServed(1);
+        runFor(Duration(250));
+        send(sockets.front(), std::string_view(s_request).substr(0, 10));
+        runFor(Duration(100));
+        send(sockets.front(), std::string_view(s_request).substr(10));
+        EXPECT_TRUE(isAnswered(sockets.front()));
+    }
+
 } // namespace
 } // namespace marigoldlink
