--- a/test/NodeCluster.cpp
+++ b/test/NodeCluster.cpp
@@ -267,8 +267,8 @@
     std::string lines;
     std::ifstream input(m_folder + "/" + node(index).name + ".log");
     for (std::string line; std::getline(input, line);) {
-        const auto contains = [&line](const std::string& word) { return line.find(word) != std::string::npos; };
-        if (contains("Stopping.") || contains("Stopped.") || contains("Ending."))
+        // Each of them tells what callers are owed.
+        if (line.find(" unsent=") != std::string::npos)
             lines += node(index).name + ": " + line + '\n';
     }
     return lines;
--- a/test/NodeStopTest.cpp
+++ b/test/NodeStopTest.cpp
@@ -19,8 +19,8 @@
 
     constexpr Milliseconds s_lateSubmission { 3000 };
     // Of a coordinator that is slow. The pause is shorter than its lease.
-    constexpr Milliseconds s_coordinatorPause { 400 };
-    constexpr Milliseconds s_coordinatorWork { 20 };
+    constexpr Milliseconds s_coordinatorPause { 420 };
+    constexpr Milliseconds s_coordinatorWork { 30 };
 
     void sleepUntil(Milliseconds time) { standin::sleepMs((time - NodeCluster::now()).count()); }
 
