--- a/test/NodeStopSoakTest.cpp
+++ b/test/NodeStopSoakTest.cpp
@@ -14,7 +14,6 @@
     using OnClose = ClientBehaviour::OnClose;
 
     constexpr std::size_t s_nodes = 5;
-    constexpr std::size_t s_stoppedAtOnce = 2;
     constexpr Milliseconds s_stopTime { 26000 };
     constexpr Milliseconds s_poll { 20 };
     constexpr Milliseconds s_shortPause { 40 };
@@ -28,6 +27,7 @@
             , m_cluster(s_nodes)
             , m_clients(m_cluster)
             , m_stops(s_nodes)
+            , m_stoppedAtOnce(seed.value % 4 ? 2 : s_nodes)
         {
         }
 
@@ -104,7 +104,7 @@
                 return;
             else if (kind <= 2)
                 m_cluster.reload(node);
-            else if (!m_stops[static_cast<std::size_t>(node)] && openStops() < s_stoppedAtOnce)
+            else if (!m_stops[static_cast<std::size_t>(node)] && openStops() < m_stoppedAtOnce)
                 stop(node, writer && NodeIndex(*writer) == node);
         }
 
@@ -158,6 +158,7 @@
         NodeCluster m_cluster;
         StopClients m_clients;
         std::vector<std::optional<Stop>> m_stops; // by node
+        std::size_t m_stoppedAtOnce; // at most; each fourth seed may stop all nodes
         std::size_t m_stopCount { 0 };
         std::size_t m_coordinatorStops { 0 };
         std::size_t m_overlappingStops { 0 };
--- a/test/NodeStopTest.cpp
+++ b/test/NodeStopTest.cpp
@@ -127,6 +127,17 @@
     EXPECT_EQ(report.partlyAnswered, 0U) << "of the groups of requests that were sent at once";
 }
 
+// Fails if a client that has always sent its next request before an answer is never told to use another connection.
+// Requests that it sent before it was told may get no answer.
+TEST_F(NodeStop, PipeliningClientsAreTold)
+{
+    const auto report = stopUnder({ .kinds = { RequestKind::Submit, RequestKind::Read },
+        .onClose = OnClose::Leave,
+        .depth = 4,
+        .refills = true });
+    EXPECT_EQ(report.untold, 0U) << "connections closed without `Connection: close`";
+}
+
 // Fails if a request is dropped that comes on a connection opened shortly before the end of the process.
 TEST_F(NodeStop, ConnectionsOpenedLate)
 {
--- a/test/StopClients.cpp
+++ b/test/StopClients.cpp
@@ -53,6 +53,12 @@
         return true;
     }
 
+    ClientRequest drawRequest(const ClientBehaviour& behaviour, std::mt19937& generator)
+    {
+        const auto kind = draw(generator, 0, static_cast<int>(behaviour.kinds.size()) - 1);
+        return ClientRequest::of(behaviour.kinds[static_cast<std::size_t>(kind)]);
+    }
+
 } // namespace
 
 ClientRequest ClientRequest::of(RequestKind kind)
@@ -242,7 +248,7 @@
         }
         bool goesOn = true;
         while (goesOn && !stop.stop_requested()) {
-            goesOn = exchange(client, behaviour, connection, generator) && behaviour.keepsConnection
+            goesOn = exchange(client, behaviour, connection, generator, stop) && behaviour.keepsConnection
                 && (!connection.isToldToClose() || behaviour.onClose == ClientBehaviour::OnClose::Ignore);
             standin::sleepMs(draw(generator, 0, static_cast<int>(behaviour.maxPause.count())));
         }
@@ -259,14 +265,12 @@
     }
 }
 
-bool StopClients::exchange(
-    Client& client, const ClientBehaviour& behaviour, KeptConnection& connection, std::mt19937& generator)
+bool StopClients::exchange(Client& client, const ClientBehaviour& behaviour, KeptConnection& connection,
+    std::mt19937& generator, const std::stop_token& stop)
 {
     std::vector<ClientRequest> requests;
-    for (std::size_t i = 0; i < behaviour.depth; ++i) {
-        const auto kind = draw(generator, 0, static_cast<int>(behaviour.kinds.size()) - 1);
-        requests.push_back(ClientRequest::of(behaviour.kinds[static_cast<std::size_t>(kind)]));
-    }
+    for (std::size_t i = 0; i < behaviour.depth; ++i)
+        requests.push_back(drawRequest(behaviour, generator));
     if (behaviour.sendsSlowly) {
         const auto size = static_cast<int>(requests.front().text().size());
         connection.begin(requests.front(), static_cast<std::size_t>(draw(generator, 1, size - 1)));
@@ -278,11 +282,17 @@
         return false;
     }
     std::size_t answered = 0;
-    while (answered < requests.size() && connection.receive(NodeCluster::now() + s_answerTime))
+    std::size_t sent = requests.size();
+    while (answered < sent && connection.receive(NodeCluster::now() + s_answerTime)) {
         ++answered;
-    client.answers += answered;
-    client.report.partlyAnswered += answered && answered < requests.size();
-    return answered == requests.size();
+        ++client.answers;
+        const bool goesOn = !connection.isToldToClose() || behaviour.onClose == ClientBehaviour::OnClose::Ignore;
+        if (behaviour.refills && goesOn && !stop.stop_requested()
+            && connection.send({ drawRequest(behaviour, generator) }))
+            ++sent;
+    }
+    client.report.partlyAnswered += answered && answered < sent;
+    return answered == sent;
 }
 
 void expectNoLoss(const NodeCluster& cluster, const std::vector<RequestRecord>& requests, NodeIndex reader)
--- a/test/StopClients.h
+++ b/test/StopClients.h
@@ -102,6 +102,7 @@
     std::vector<RequestKind> kinds; // drawn at random
     OnClose onClose { OnClose::Ignore };
     std::size_t depth { 1 }; // requests that are sent before their answers are read
+    bool refills { false }; // sends the next request after each answer, so that `depth` of them are always open
     bool keepsConnection { true };
     Milliseconds maxPause { 0 }; // between an answer and the next request
     bool sendsSlowly { false }; // a part of each request comes later
@@ -141,7 +142,7 @@
 
     void run(Client&, const ClientBehaviour&, const std::vector<NodeIndex>&, std::mt19937, const std::stop_token&);
     // Returns false if no further request can be sent.
-    bool exchange(Client&, const ClientBehaviour&, KeptConnection&, std::mt19937&);
+    bool exchange(Client&, const ClientBehaviour&, KeptConnection&, std::mt19937&, const std::stop_token&);
 
     const NodeCluster& m_cluster;
     std::list<Client> m_clients;
