Tell clients that always pipeline to leave a node that stops

What callers saw: a client that sends its next request before it has the answer to the last one was never told to leave, so it used the node until the deadline of the stop, at which its open calls were ended.

Cause: Connection: close is left out while further requests wait behind an answer, since a client need not expect answers after it.

Change: once the idle time of the drain is over, each answer says so. Requests that were sent already are answered as before.

--- a/include/marigoldlink/Transport/ConnectionGuard.h
+++ b/include/marigoldlink/Transport/ConnectionGuard.h
@@ -97,8 +97,11 @@
     static std::shared_ptr<TrackedConnection> find(st_h2o_socket_t*);
     // Called with a complete request. Returns false if it must be refused, because requests in work hold too much.
     static bool beginRequest(TrackedConnection&);
-    // Whether the connection is to be closed after an answer.
+    // Whether the connection is to be closed after an answer behind which no request has been sent.
     static bool isDraining(const TrackedConnection&);
+    // Whether it has been drained for longer than its idle time, in which its client has always sent the next request
+    // before it had the answer to the last one.
+    static bool isDrainOverdue(const TrackedConnection&);
     // isLast: the answer tells the client that the connection will be closed
     static void beginAnswer(TrackedConnection&, std::size_t bytes, bool isLast);
     static void endRequest(TrackedConnection&);
@@ -106,6 +109,7 @@
     // Closes the connections of this kind, also those that are opened later, before the process ends. A connection is
     // closed after an answer that says so, or once its client has sent nothing for idleTime. It is never closed while a
     // request is unread, read in part or unanswered, nor before the client has acknowledged the last byte of an answer.
+    // After idleTime each answer says so, also one behind which further requests wait.
     // A later call replaces idleTime.
     void drain(ListenerKind, Duration idleTime);
 
--- a/lib/Transport/ConnectionGuard.cpp
+++ b/lib/Transport/ConnectionGuard.cpp
@@ -659,6 +659,13 @@
     return connection.guard && connection.guard->drainIdleTime(connection);
 }
 
+bool ConnectionGuard::isDrainOverdue(const TrackedConnection& connection)
+{
+    return isDraining(connection)
+        && connection.guard->loop.now() - connection.guard->drainingSince
+        >= *connection.guard->drainIdleTime(connection);
+}
+
 void ConnectionGuard::beginAnswer(TrackedConnection& connection, std::size_t bytes, bool isLast)
 {
     if (!connection.guard)
--- a/lib/Transport/HttpServer.cpp
+++ b/lib/Transport/HttpServer.cpp
@@ -98,7 +98,8 @@
             m_onClosed = nullptr;
             m_byteCounters.sent += s_responseHeadBytes + answer.body.size();
             const bool isLast = request->http1_is_persistent && m_connection
-                && ConnectionGuard::isDraining(*m_connection) && !hasFurtherInput(request);
+                && ConnectionGuard::isDraining(*m_connection)
+                && (!hasFurtherInput(request) || ConnectionGuard::isDrainOverdue(*m_connection));
             if (m_connection)
                 ConnectionGuard::beginAnswer(*m_connection, answer.body.size(), isLast);
             request->res.status = answer.status;
--- a/unittests/Transport/ConnectionGuardTest.cpp
+++ b/unittests/Transport/ConnectionGuardTest.cpp
@@ -334,6 +334,24 @@
         EXPECT_TRUE(received.isClosed);
     }
 
+    // Guards against clients that are never told to leave, since they send the next request before they have an answer.
+    TEST_F(Guarded, ADrainedConnectionSaysSoAlsoToAClientThatAlwaysPipelines)
+    {
+        start(smallLimits());
+        m_isAnswering = false;
+        const int socket = connect();
+        send(socket, request(10) + request(10));
+        EXPECT_TRUE(runUntil([&] { return m_requests == 1; }));
+        m_guard->drain(ListenerKind::Callers, Duration(100));
+        runFor(Duration(150));
+        m_isAnswering = true;
+        m_responders.front()->send({});
+        const auto received = receiveAll(socket);
+        EXPECT_EQ(received.count("HTTP/1.1 200 OK"), 2U) << received.text;
+        EXPECT_EQ(received.count("Connection: close"), 2U) << received.text;
+        EXPECT_TRUE(received.isClosed);
+    }
+
     // Guards against requests that are lost because they were read in part when the process stopped.
     TEST_F(Guarded, ADrainedConnectionWaitsForTheRestOfARequest)
     {
