Accept a bounded number of connections at once

What callers saw: a planned stop of marigold-entry did not end within 20 s while 200 clients connected again as soon as they were told to leave.

Cause: connections that wait for the end of the drain used up the limits of connections, so further ones were refused, and their clients connected again. The listener's callback accepts until nothing waits, so the loop never came back to its timers. A limit also ended live connections, since those that are closing cannot be ended to make room. marigold-node has the same listener.

Change: one callback accepts at most 64 connections, and a new connection that would reach a limit first closes those that only wait for the drain.

--- a/lib/Transport/ConnectionGuard.cpp
+++ b/lib/Transport/ConnectionGuard.cpp
@@ -602,6 +602,15 @@
         return victim != nullptr;
     };
     const auto& limits = m_impl->limits;
+    const auto hasRoom = [&] {
+        const auto sums = m_impl->byAddress.find(address);
+        return m_impl->connections.size() < limits.connections
+            && m_impl->byListener[static_cast<std::size_t>(listener)] < threeQuarters(limits.connections)
+            && (sums == m_impl->byAddress.end() || sums->second.connections < limits.connectionsPerAddress);
+    };
+    // Those that only wait for the end of a drain make room first.
+    if (m_impl->drainTimer && !hasRoom())
+        m_impl->drain();
     const auto sums = m_impl->byAddress.find(address);
     if (sums != m_impl->byAddress.end() && sums->second.connections >= limits.connectionsPerAddress
         && !makeRoom(
--- a/lib/Transport/HttpServer.cpp
+++ b/lib/Transport/HttpServer.cpp
@@ -21,6 +21,9 @@
     constexpr Log s_log("http");
 
     constexpr int s_listenBacklog = 1024;
+    // Connections accepted in one iteration of the loop. Clients that connect again as soon as they are refused must
+    // not keep it from its timers and other sockets.
+    constexpr int s_maxAccepts = 64;
     constexpr std::uint64_t s_noTimeout = 86'400'000;
     constexpr int s_statusUnavailable = 503;
     // The request may have taken effect.
@@ -252,15 +255,22 @@
     {
         if (error)
             return;
-        auto* self = static_cast<Impl*>(listener->data);
-        while (h2o_socket_t* socket = h2o_evloop_socket_accept(listener)) {
-            if (self->guard && !self->guard->admit(socket, self->listenerKind)) {
+        static_cast<Impl*>(listener->data)->accept(s_maxAccepts);
+    }
+
+    void accept(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
+            if (!socket)
+                return;
+            if (guard && !guard->admit(socket, listenerKind)) {
                 h2o_socket_close(socket);
                 continue;
             }
-            h2o_accept(&self->acceptContext, socket);
-            if (self->guard)
-                self->guard->watch(socket);
+            h2o_accept(&acceptContext, socket);
+            if (guard)
+                guard->watch(socket);
         }
     }
 
@@ -340,7 +350,7 @@
     if (!m_impl->listener)
         return;
     // Requests may have been sent on connections that wait to be accepted.
-    Impl::onAccept(m_impl->listener, nullptr);
+    m_impl->accept(s_listenBacklog);
     m_impl->closeListener();
 }
 
--- a/test/PlannedStopTest.cpp
+++ b/test/PlannedStopTest.cpp
@@ -15,6 +15,7 @@
     using Clock = std::chrono::steady_clock;
 
     constexpr std::size_t s_clients = 16;
+    constexpr std::size_t s_manyClients = 200;
     // The time for which the load runs before SIGTERM.
     constexpr Duration s_loadTime { 500 };
     // Longer than a stop without any client, which takes about 1 s.
@@ -108,11 +109,11 @@
     // Runs clients until the process, which gets SIGTERM after a while, has exited.
     template <typename RequestText>
     std::vector<ClientReport> runClientsUntilExit(
-        Cluster& cluster, Process& process, const Endpoint& endpoint, RequestText request)
+        Cluster& cluster, Process& process, const Endpoint& endpoint, std::size_t clients, RequestText request)
     {
-        std::vector<ClientReport> reports(s_clients);
+        std::vector<ClientReport> reports(clients);
         std::vector<std::thread> threads;
-        for (std::size_t i = 0; i < s_clients; ++i) {
+        for (std::size_t i = 0; i < clients; ++i) {
             threads.emplace_back(
                 [&, i] { reports[i] = runClient(endpoint, "client-" + std::to_string(i) + "-", request); });
         }
@@ -215,8 +216,18 @@
 {
     Cluster cluster(twoEntries());
     auto& entry = cluster.entries[0];
-    const auto reports = runClientsUntilExit(
-        cluster, entry.process, entry.endpoint, [](const std::string& id) { return taskRequest(id, taskBody(id)); });
+    const auto reports = runClientsUntilExit(cluster, entry.process, entry.endpoint, s_clients,
+        [](const std::string& id) { return taskRequest(id, taskBody(id)); });
+    expectNothingLost(reports, startedIds(cluster));
+}
+
+// Guards against a stop that does not end while many clients connect again as soon as they are told to leave.
+TEST(PlannedStop, EndsWhileManyClientsConnectAgain)
+{
+    Cluster cluster(twoEntries());
+    auto& entry = cluster.entries[0];
+    const auto reports = runClientsUntilExit(cluster, entry.process, entry.endpoint, s_manyClients,
+        [](const std::string& id) { return taskRequest(id, taskBody(id)); });
     expectNothingLost(reports, startedIds(cluster));
 }
 
@@ -337,7 +348,8 @@
 TEST(PlannedStop, KeeperAnswersEveryRequestOnKeptConnections)
 {
     Cluster cluster(twoEntries());
-    const auto reports = runClientsUntilExit(cluster, cluster.keepers[0], cluster.keeperEndpoints[0], statusRequest);
+    const auto reports
+        = runClientsUntilExit(cluster, cluster.keepers[0], cluster.keeperEndpoints[0], s_clients, statusRequest);
     expectNothingLost(reports, {});
 }
 
