Test answers to clients that ask to close the connection

For a request with Connection: close h2o closes the socket as soon as the answer is in the kernel's buffer. Bytes that the client sends after that reset the connection, and the rest of the answer is discarded. The guard no longer counts such a connection, so ConnectionGuard::drain does not wait for its client's acknowledgement either.

--- a/unittests/Transport/ConnectionGuardTest.cpp
+++ b/unittests/Transport/ConnectionGuardTest.cpp
@@ -455,6 +455,24 @@
         EXPECT_EQ(answer(socket), "HTTP/1.1 200 OK");
     }
 
+    // Guards against an answer whose end is discarded by a reset: its client asked to close, and an empty line follows
+    // its request, which servers should ignore (RFC 9112, section 2.2).
+    TEST_F(Guarded, AnAnswerToAClientThatAsksToCloseIsNotReset)
+    {
+        constexpr std::size_t size = 40000;
+        start(smallLimits(), std::string(size, 'a'));
+        const int socket = connect(4096);
+        m_guard->drain(ListenerKind::Callers, Duration(10000));
+        send(socket, "GET /a HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+        EXPECT_TRUE(runUntil([&] { return m_requests == 1; }));
+        runFor(Duration(100));
+        send(socket, "\r\n");
+        runFor(Duration(100));
+        const auto received = receiveAll(socket);
+        EXPECT_GE(received.text.size(), size);
+        EXPECT_TRUE(received.isClosed);
+    }
+
     // The smallest and the largest instance of the fleets.
     TEST(ConnectionLimits, FollowFromTheMachine)
     {
