--- a/unittests/Transport/ConnectionGuardTest.cpp
+++ b/unittests/Transport/ConnectionGuardTest.cpp
@@ -473,6 +473,19 @@
         EXPECT_TRUE(received.isClosed);
     }
 
+    // Guards against a client whose lines end with a line feed alone, which h2o accepts, that no answer tells to leave.
+    TEST_F(Guarded, ADrainedConnectionIsClosedAfterARequestWithBareLineFeeds)
+    {
+        start(smallLimits());
+        const int socket = connect();
+        m_guard->drain(ListenerKind::Callers, Duration(10000));
+        send(socket, "GET /a HTTP/1.1\nhost: a\n\n");
+        const auto received = receiveAll(socket);
+        EXPECT_EQ(received.count("HTTP/1.1 200 OK"), 1U) << received.text;
+        EXPECT_EQ(received.count("Connection: close"), 1U) << received.text;
+        EXPECT_TRUE(received.isClosed);
+    }
+
     // The smallest and the largest instance of the fleets.
     TEST(ConnectionLimits, FollowFromTheMachine)
     {
