--- a/unittests/Transport/ConnectionGuardTest.cpp
+++ b/unittests/Transport/ConnectionGuardTest.cpp
@@ -486,6 +486,28 @@
         EXPECT_TRUE(received.isClosed);
     }
 
+    // Guards against a stop that waits for a client which always has a further request on the way.
+    TEST_F(Guarded, ADrainedConnectionEndsUnderAClientThatPipelinesWithoutAnEnd)
+    {
+        start(smallLimits());
+        const int socket = connect();
+        m_guard->drain(ListenerKind::Callers, Duration(100));
+        send(socket, request(10) + request(10, 5));
+        Received all;
+        int sent = 0;
+        for (; sent < 200 && !all.count("Connection: close"); ++sent) {
+            send(socket, std::string(5, 'x') + request(10, 5));
+            runFor(Duration(10));
+            char buffer[4096];
+            const auto size = ::recv(socket, buffer, sizeof(buffer), MSG_DONTWAIT);
+            if (size > 0)
+                all.text.append(buffer, static_cast<std::size_t>(size));
+            if (size == 0)
+                break;
+        }
+        EXPECT_LT(sent, 200) << "no answer of " << m_requests << " told the client to leave";
+    }
+
     // The smallest and the largest instance of the fleets.
     TEST(ConnectionLimits, FollowFromTheMachine)
     {
