Test further kinds of requests on connections that are closed

Chunked bodies, Expect: 100-continue and half-closed clients. A process test of pipelining clients is left out, since NodeStop.PipeliningClientsAreTold covers it.

--- a/unittests/Transport/ConnectionGuardTest.cpp
+++ b/unittests/Transport/ConnectionGuardTest.cpp
@@ -508,6 +508,52 @@
         EXPECT_LT(sent, 200) << "no answer of " << m_requests << " told the client to leave";
     }
 
+    // Guards against a client with chunked bodies that no answer tells to leave.
+    TEST_F(Guarded, ADrainedConnectionIsClosedAfterAChunkedRequest)
+    {
+        start(smallLimits());
+        const int socket = connect();
+        m_guard->drain(ListenerKind::Callers, Duration(10000));
+        send(socket, "POST /a HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n");
+        const auto received = receiveAll(socket);
+        EXPECT_EQ(received.count("Connection: close"), 1U) << received.text;
+        EXPECT_TRUE(received.isClosed);
+    }
+
+    // Guards against a request with `Expect: 100-continue` that is cut off between its header and its body.
+    TEST_F(Guarded, ADrainedConnectionWaitsForABodyThatItAskedFor)
+    {
+        start(smallLimits());
+        const int socket = connect();
+        m_guard->drain(ListenerKind::Callers, Duration(0));
+        send(socket, "POST /a HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n");
+        EXPECT_EQ(answer(socket), "HTTP/1.1 100 Continue");
+        runFor(Duration(300));
+        send(socket, "ab");
+        const auto received = receiveAll(socket);
+        EXPECT_EQ(received.count("HTTP/1.1 200 OK"), 1U) << received.text;
+        EXPECT_EQ(received.count("Connection: close"), 1U) << received.text;
+        EXPECT_TRUE(received.isClosed);
+    }
+
+    // Guards against an answer that is dropped since its client has half-closed the connection.
+    TEST_F(Guarded, ADrainedConnectionAnswersAHalfClosedClient)
+    {
+        start(smallLimits());
+        m_isAnswering = false;
+        const int socket = connect();
+        send(socket, request(10) + request(10));
+        EXPECT_TRUE(runUntil([&] { return m_requests == 1; }));
+        ::shutdown(socket, SHUT_WR);
+        m_guard->drain(ListenerKind::Callers, Duration(0));
+        runFor(Duration(200));
+        m_isAnswering = true;
+        m_responders.front()->send({});
+        const auto received = receiveAll(socket);
+        EXPECT_EQ(received.count("HTTP/1.1 200 OK"), 2U) << received.text;
+        EXPECT_TRUE(received.isClosed);
+    }
+
     // The smallest and the largest instance of the fleets.
     TEST(ConnectionLimits, FollowFromTheMachine)
     {
