Close connections of clients that ask for it without a reset

What callers saw: a client that sent Connection: close lost the end of its answer if it sent anything more, such as an empty line behind its request.

Cause: h2o closes such a connection as soon as the answer is in the kernel's buffer. Bytes that arrive later reset it, which discards the rest. A node that stops did not wait for such answers either, since the guard no longer knew the connection.

Change: the guard closes these connections as it closes drained ones: it half-closes them, and waits for the client's acknowledgement, for answer_ms at most.

--- a/lib/Transport/ConnectionGuard.cpp
+++ b/lib/Transport/ConnectionGuard.cpp
@@ -114,7 +114,9 @@
     bool isLarge() const { return held > s_smallBytes; }
     // h2o releases the memory at once, or when it sees the end of the connection. While a request is in work, it does
     // not.
-    bool canEnd() const { return !isEnding && phase != Phase::Serving && phase != Phase::Closing; }
+    bool canEnd() const { return !isEnding && phase != Phase::Serving; }
+    // The client may not have received all of an answer.
+    bool isSending() const { return phase == Phase::Answering || phase == Phase::Closing; }
 };
 
 struct ConnectionGuard::Impl {
@@ -349,9 +351,8 @@
     template <typename Predicate> Connection* leastUseful(const Predicate& isCandidate)
     {
         Connection* found = nullptr;
-        const auto rank = [](const Connection& each) {
-            return std::make_tuple(each.phase == Phase::Answering, each.hasServed, each.since);
-        };
+        const auto rank
+            = [](const Connection& each) { return std::make_tuple(each.isSending(), each.hasServed, each.since); };
         for (const auto& [key, connection] : connections) {
             if (connection->canEnd() && isCandidate(*connection) && (!found || rank(*connection) < rank(*found))
                 && !hasUnread(*connection))
@@ -373,6 +374,10 @@
         auto* socket = connection.socket;
         const linger reset { 1, 0 };
         ::setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        if (connection.phase == Phase::Closing) {
+            connection.read(socket, s_endReason);
+            return;
+        }
         const bool isReading
             = (connection.phase == Phase::Waiting || connection.phase == Phase::Reading) && socket->_cb.read;
         if (isReading) {
@@ -417,26 +422,37 @@
         return drainIdleTimes.at(static_cast<std::size_t>(connection.listener));
     }
 
+    bool isDraining() const
+    {
+        return std::any_of(
+            drainIdleTimes.begin(), drainIdleTimes.end(), [](const auto& time) { return time.has_value(); });
+    }
+
     void scheduleDrain()
     {
+        if (drainTimer)
+            return;
         drainTimer = loop.after(s_drainPeriod, [this] {
-            drain();
-            scheduleDrain();
+            drainTimer.reset();
+            if (drain() || isDraining())
+                scheduleDrain();
         });
     }
 
-    void drain()
+    // Returns whether connections are being closed.
+    bool drain()
     {
         std::vector<ConnectionPtr> all;
         for (const auto& [key, connection] : connections) {
-            if (drainIdleTime(*connection))
+            if (connection->isCloseAnnounced || drainIdleTime(*connection))
                 all.push_back(connection);
         }
         const auto now = loop.now();
         for (const auto& connection : all) {
             if (!connection->socket)
                 continue;
-            const auto isIdle = now - std::max(connection->since, drainingSince) >= *drainIdleTime(*connection);
+            const auto idleTime = drainIdleTime(*connection);
+            const bool isIdle = idleTime && now - std::max(connection->since, drainingSince) >= *idleTime;
             if (connection->phase == Phase::Closing) {
                 if (!queueBytes(connection->socket, SIOCOUTQ))
                     connection->read(connection->socket, s_drainReason); // h2o closes the connection
@@ -444,6 +460,7 @@
                 beginClose(*connection);
             }
         }
+        return !all.empty();
     }
 
     // Half-closes a connection on which nothing is due. A close at once would reset the connection if the client sends
@@ -459,6 +476,7 @@
         h2o_socket_read_stop(socket);
         ::shutdown(h2o_socket_get_fd(socket), SHUT_WR);
         setPhase(connection, Phase::Closing);
+        scheduleDrain();
     }
 
     void scheduleSweep()
@@ -515,12 +533,11 @@
             update(connection, queueBytes(connection.socket, SIOCINQ));
             break;
         case Phase::Answering:
+        case Phase::Closing:
             update(connection, queueBytes(connection.socket, SIOCOUTQ));
             if (time > limits.answerTime)
                 end(connection, Limit::AnswerTime);
             break;
-        case Phase::Closing:
-            break;
         }
     }
 
@@ -608,7 +625,7 @@
             && m_impl->byListener[static_cast<std::size_t>(listener)] < threeQuarters(limits.connections)
             && (sums == m_impl->byAddress.end() || sums->second.connections < limits.connectionsPerAddress);
     };
-    // Those that only wait for the end of a drain make room first.
+    // Those that are closed and only wait for an acknowledgement make room first.
     if (m_impl->drainTimer && !hasRoom())
         m_impl->drain();
     const auto sums = m_impl->byAddress.find(address);
@@ -656,10 +673,9 @@
 
 void ConnectionGuard::drain(ListenerKind listener, Duration idleTime)
 {
+    if (!m_impl->isDraining())
+        m_impl->drainingSince = m_impl->loop.now();
     m_impl->drainIdleTimes.at(static_cast<std::size_t>(listener)) = idleTime;
-    if (m_impl->drainTimer)
-        return;
-    m_impl->drainingSince = m_impl->loop.now();
     m_impl->scheduleDrain();
 }
 
--- a/lib/Transport/HttpServer.cpp
+++ b/lib/Transport/HttpServer.cpp
@@ -100,9 +100,11 @@
             m_request = nullptr;
             m_onClosed = nullptr;
             m_byteCounters.sent += s_responseHeadBytes + answer.body.size();
-            const bool isLast = request->http1_is_persistent && m_connection
-                && ConnectionGuard::isDraining(*m_connection)
-                && (!hasFurtherInput(request) || ConnectionGuard::isDrainOverdue(*m_connection));
+            // Also if the client has asked for it.
+            const bool isLast = m_connection
+                && (!request->http1_is_persistent
+                    || (ConnectionGuard::isDraining(*m_connection)
+                        && (!hasFurtherInput(request) || ConnectionGuard::isDrainOverdue(*m_connection))));
             if (m_connection)
                 ConnectionGuard::beginAnswer(*m_connection, answer.body.size(), isLast);
             request->res.status = answer.status;
