Find the end of a header with bare line feeds

A client whose lines end with a line feed alone, which h2o accepts, was not told to leave a node that stops: its request seemed to be followed by another one.

--- a/lib/Transport/HttpServer.cpp
+++ b/lib/Transport/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include "marigoldlink/State/Errors.h"
 #include "marigoldlink/Support/Log.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cassert>
 #include <cerrno>
@@ -29,7 +30,6 @@
     // The request may have taken effect.
     constexpr int s_statusUnknown = 504;
     constexpr const char* s_retryAfter = "1";
-    constexpr std::string_view s_headerEnd = "\r\n\r\n";
 
     const char* reasonPhrase(int status)
     {
@@ -65,13 +65,21 @@
         return bytes;
     }
 
+    // Position behind the first occurrence of the word; the size of the text if there is none.
+    std::size_t endOf(std::string_view text, std::string_view word)
+    {
+        const auto found = text.find(word);
+        return found == std::string_view::npos ? text.size() : found + word.size();
+    }
+
     // True if the client has sent more than this request. Chunked bodies count as more.
     bool hasFurtherInput(const h2o_req_t* request)
     {
         auto* socket = request->conn->callbacks->get_socket(request->conn);
         const std::string_view input(socket->input->bytes, socket->input->size);
-        const auto header = input.find(s_headerEnd);
-        if (header == std::string_view::npos || input.size() > header + s_headerEnd.size() + request->entity.len)
+        // h2o also accepts lines that end with a line feed alone.
+        const auto headerSize = std::min(endOf(input, "\n\r\n"), endOf(input, "\n\n"));
+        if (input.size() > headerSize + request->entity.len)
             return true;
         char next = 0;
         return ::recv(h2o_socket_get_fd(socket), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT) > 0;
