--- a/include/marigoldlink/Transport/ConnectionGuard.h
+++ b/include/marigoldlink/Transport/ConnectionGuard.h
@@ -107,10 +107,10 @@
     static void endRequest(TrackedConnection&);
 
     // Closes the connections of this kind, also those that are opened later, before the process ends. A connection is
-    // closed after an answer that says so, or once its client has sent nothing for idleTime. It is never closed while a
-    // request is unread, read in part or unanswered, nor before the client has acknowledged the last byte of an answer.
-    // After idleTime each answer says so, also one behind which further requests wait.
-    // A later call replaces idleTime.
+    // half-closed after an answer that says so, or once its client has sent nothing for idleTime, and closed when the
+    // client has acknowledged the last byte. It is not half-closed while a request is unread, read in part or
+    // unanswered; what arrives later is not read. After idleTime each answer says so, also one behind which further
+    // requests wait. A later call replaces idleTime.
     void drain(ListenerKind, Duration idleTime);
 
     // Bytes and connections that count now.
--- a/lib/Transport/HttpServer.cpp
+++ b/lib/Transport/HttpServer.cpp
@@ -72,7 +72,7 @@
         return found == std::string_view::npos ? text.size() : found + word.size();
     }
 
-    // True if the client has sent more than this request. Chunked bodies count as more.
+    // True if the client has sent more than this request.
     bool hasFurtherInput(const h2o_req_t* request)
     {
         auto* socket = request->conn->callbacks->get_socket(request->conn);
