--- a/unittests/Coordination/MaintenancePlannerTest.cpp
+++ b/unittests/Coordination/MaintenancePlannerTest.cpp
@@ -113,6 +113,129 @@
     RC_ASSERT(isComplete);
 }
 
+// A wave under coordinators that end at any time. Some of their calls are carried out seconds later, unless the
+// instance has seen a higher fence by then.
+class WaveUnderSuccessors {
+public:
+    WaveUnderSuccessors(Choices& choices, int count, int maxAtOnce)
+        : m_choices(choices)
+        , m_wave(wave(count, maxAtOnce))
+        , m_fleet(count)
+    {
+        takeOver();
+    }
+
+    // Advances time by 50 ms. Returns the number of instances that are down then.
+    int advance()
+    {
+        m_now += Duration(50);
+        if (m_choices.below(30) == 29) {
+            m_now += Duration(1000 + 50 * static_cast<int>(m_choices.below(20)));
+            takeOver();
+        }
+        for (const auto& call : m_late) {
+            if (call.at <= m_now)
+                carryOut(call.instance, call.fence, call.at);
+        }
+        std::erase_if(m_late, [this](const LateCall& call) { return call.at <= m_now; });
+        storeRecords();
+        m_fleet.updateList(m_now);
+        m_plan->instancesListed(m_fleet.instances, m_now);
+        const auto steps = m_plan->plan(
+            m_fleet.instances, [](const std::string&) { return InstanceLoad {}; }, m_now);
+        for (const auto& step : steps) {
+            if (m_plan->isCallRecorded(step.wave, step.instance))
+                send(step);
+        }
+        return m_fleet.countDown(m_now);
+    }
+
+    bool isComplete() const { return m_isComplete; }
+    bool isAllMaintained() const { return m_fleet.begun.at(s_wave).size() == m_wave.instances.size(); }
+
+private:
+    struct LateCall {
+        std::string instance;
+        int fence;
+        TimePoint at;
+    };
+
+    void takeOver()
+    {
+        ++m_fence;
+        m_unstored.clear();
+        m_plan.emplace(MaintenancePlanner::Limits { Duration(2000), Duration(500) });
+        m_plan->setWaves({ { s_wave, m_wave } });
+        m_plan->restore(s_wave, m_stored, m_now);
+        if (m_fence > 1)
+            m_plan->setFirstCallTime(m_now + Duration(2500));
+    }
+
+    void storeRecords()
+    {
+        for (auto& change : m_plan->takeChanges())
+            m_unstored.push_back(std::move(change));
+        while (!m_unstored.empty() && m_choices.below(3) != 2) {
+            m_stored = m_unstored.front().progress;
+            m_isComplete |= m_unstored.front().isComplete;
+            m_plan->progressStored(s_wave, m_unstored.front().version);
+            m_unstored.erase(m_unstored.begin());
+        }
+    }
+
+    void carryOut(const std::string& instance, int fence, TimePoint at)
+    {
+        auto& seen = m_seenFence[instance];
+        if (fence < seen)
+            return;
+        seen = fence;
+        m_fleet.begin(s_wave, instance, at);
+    }
+
+    void send(const MaintenanceStep& step)
+    {
+        m_plan->callSent(step.wave, step.instance, m_now);
+        const auto isLate
+            = [&](const LateCall& call) { return call.instance == step.instance && call.fence == m_fence; };
+        const auto outcome = m_choices.below(8);
+        if (outcome == 7 && std::none_of(m_late.begin(), m_late.end(), isLate)) {
+            m_plan->callRejected(step.instance, m_now);
+        } else if (outcome >= 5) {
+            m_late.push_back(
+                { step.instance, m_fence, m_now + Duration(2000 + 100 * static_cast<int>(m_choices.below(100))) });
+            m_plan->callUnanswered(step.wave, step.instance, m_now);
+        } else {
+            carryOut(step.instance, m_fence, m_now);
+            m_plan->callAccepted(step.wave, step.instance, m_now);
+        }
+    }
+
+    Choices& m_choices;
+    MaintenanceWave m_wave;
+    Fleet m_fleet;
+    std::optional<MaintenancePlanner> m_plan;
+    TimePoint m_now { Duration(1000) };
+    int m_fence { 0 };
+    std::map<std::string, int> m_seenFence; // highest, by instance
+    std::vector<LateCall> m_late;
+    std::vector<MaintenancePlanner::Change> m_unstored;
+    WaveProgress m_stored;
+    bool m_isComplete { false };
+};
+
+// Guards against LIMIT violations (review/14): a call of a coordinator that had ended took effect late, beside the
+// calls of its successor.
+RC_GTEST_PROP(MaintenancePlanner, LateCallsOfPredecessorsTakeNoMoreThanAllowed, ())
+{
+    auto choices = Choices::generate(80);
+    const int maxAtOnce = 1 + static_cast<int>(choices.below(4));
+    WaveUnderSuccessors wave(choices, 1 + static_cast<int>(choices.below(12)), maxAtOnce);
+    for (int i = 0; i < 3000 && !wave.isComplete(); ++i)
+        RC_ASSERT(wave.advance() <= maxAtOnce);
+    RC_ASSERT(wave.isComplete());
+    RC_ASSERT(wave.isAllMaintained());
+}
+
 // Guards against LIMIT violations (RapidCheck seed 23770 of the property above): the repetition of a lost call took
 // effect without an answer, and a rejection after it freed the slot while the instance was still down.
 TEST(MaintenancePlanner, ARejectionDoesNotFreeTheSlotOfALaterUnansweredCall)
