--- a/include/marigoldlink/Coordination/MaintenancePlanner.h
+++ b/include/marigoldlink/Coordination/MaintenancePlanner.h
@@ -3,9 +3,6 @@
 // An instance is first reserved, so that it gets no new tasks. Its maintenance begins once the tasks that end by
 // themselves have ended or the drain timeout has passed, but only while the services that run there can do without it.
 // An instance counts as under maintenance from the call until it is known to be up again.
-//
-// A call without an answer may take effect seconds later, even beside the calls of a successor. So each call is
-// recorded before it is sent, and a successor holds the places of the recorded calls and repeats them before others.
 #pragma once
 
 #include "marigoldlink/State/Fleet.h"
@@ -29,16 +26,6 @@
     bool isIdle() const { return isKnown && !tasks && !services; }
 };
 
-// The stored part of a wave.
-struct WaveProgress {
-    std::set<std::string> finished; // instances whose maintenance for this wave was accepted
-    // Instances whose call may have been sent and is not known to be accepted or without effect. Never more than the
-    // wave allows at once.
-    std::set<std::string> called;
-
-    friend bool operator==(const WaveProgress&, const WaveProgress&) = default;
-};
-
 struct MaintenanceStep {
     WaveId wave;
     std::int64_t number { 0 };
@@ -55,7 +42,6 @@
     struct Limits {
         Duration maintenanceDuration { 2000 };
         Duration drainTimeout { 1500 }; // time that an instance stays reserved before its tasks are ended
-        Duration longestDelay { 15000 }; // time in which a call without an answer may take effect
     };
 
     explicit MaintenancePlanner(Limits limits)
@@ -65,21 +51,12 @@
 
     // Sets the waves that operators request now.
     void setWaves(const std::map<WaveId, MaintenanceWave>&);
-    // The recorded calls may take effect for Limits::longestDelay. Until then they count as under maintenance.
-    void restore(const WaveId&, WaveProgress, TimePoint now);
-    // Calls that were not restored are not planned before this time. A predecessor's maintenance may last until then.
-    void setFirstCallTime(TimePoint time) { m_firstCallTime = time; }
-    TimePoint firstCallTime() const { return m_firstCallTime; }
+    void restore(const WaveId&, std::set<std::string> finished);
 
     // A list of the instances was read, asked for at the given time. A list may leave out an instance that stays, and
     // may be older than a wave, so an instance counts as gone only once the lists over some time have left it out.
     void instancesListed(const std::map<std::string, FleetInstance>& instances, TimePoint askedAt);
 
-    // Whether a call may be sent: the stored record names it, and so do the later ones.
-    bool isCallRecorded(const WaveId&, const std::string& instance) const;
-    // The record of the wave was stored as takeChanges() returned it with this version.
-    void progressStored(const WaveId&, std::uint64_t version);
-
     // Chooses the instances to maintain now, given the last list. Those that are to follow are in reserved().
     std::vector<MaintenanceStep> plan(
         const std::map<std::string, FleetInstance>& instances, const LoadOf&, TimePoint now,
@@ -100,9 +77,6 @@
     // room for their tasks, and the tasks that fit only there would wait for them.
     const std::set<std::string>& draining() const { return m_draining; }
     bool isUnderMaintenance(const std::string& instance) const { return m_underMaintenance.contains(instance); }
-    // Whether a predecessor may have called the instance, and no call of this coordinator may have taken effect.
-    bool isRestoredCall(const std::string& instance) const;
-    bool hasRestoredCalls() const;
     bool hasWork() const;
     // The instances that some wave still has to maintain.
     std::unordered_set<std::string> dueInstances() const;
@@ -110,8 +84,7 @@
     // Returns the waves whose progress or completion has changed since the last call.
     struct Change {
         WaveId wave;
-        WaveProgress progress;
-        std::uint64_t version { 0 }; // of the progress
+        std::set<std::string> finished;
         bool isComplete { false };
     };
     std::vector<Change> takeChanges();
@@ -125,11 +98,7 @@
     struct WaveState {
         MaintenanceWave wave;
         bool isRequested { false }; // operators request it now
-        std::set<std::string> finished; // as in WaveProgress
-        // As in WaveProgress, with the first version of the progress since which the instance has been in it.
-        std::map<std::string, std::uint64_t> called;
-        std::uint64_t version { 0 }; // of the progress; rises with each change
-        std::uint64_t storedVersion { 0 };
+        std::set<std::string> finished; // instances whose maintenance for this wave was accepted
         std::map<std::string, Absence> missing; // instances that the last list left out
         std::set<std::string> gone; // those that lists have left out for long enough
         bool isComplete { false };
@@ -141,9 +110,6 @@
         bool isAccepted { false };
         std::optional<TimePoint> unansweredSentAt; // of the last call that had no answer
         std::optional<TimePoint> retryAt; // when the call is sent again
-        std::optional<TimePoint> restoredUntil {}; // a predecessor's call may take effect until then
-        // No call of this coordinator may have taken effect.
-        bool isRestored() const { return restoredUntil && !isAccepted && !unansweredSentAt; }
     };
 
     int countUnderMaintenance(const WaveState&) const;
@@ -151,14 +117,9 @@
     // Whether the call can have no further effect on the instance, which the list shows as up or leaves out.
     bool hasEnded(const MaintenanceCall&, TimePoint now) const;
     void updateCompletion(const WaveId&, WaveState&);
-    static void progressChanged(WaveState&);
-    // Records the calls that may take effect, given those that are planned now. Instances that only drain are left out,
-    // since each recorded one holds a place after a takeover until its call is repeated.
-    void updateCalled(const WaveId&, WaveState&, std::set<std::string> planned);
     bool isGone(const MaintenanceCall&, const std::string& instance) const;
 
     Limits m_limits;
-    TimePoint m_firstCallTime;
     std::map<WaveId, WaveState> m_waves;
     std::map<std::string, MaintenanceCall> m_underMaintenance; // called, and not yet known to be up again
     std::map<std::string, TimePoint> m_reservedSince;
--- a/include/marigoldlink/Entry/Coordinator.h
+++ b/include/marigoldlink/Entry/Coordinator.h
@@ -79,7 +79,7 @@
     void restoreQueue(const QueueId&, const QueueRecord&);
     // An id that a predecessor stored as cancelled, with the team that had cancelled it.
     void restoreCancelledId(const JobId&, const TeamId&, TimePoint now);
-    void restoreWave(const WaveId&, WaveProgress, TimePoint now);
+    void restoreWave(const WaveId&, std::set<std::string> finished);
     // onlyRuns: as in WorkerRecord.
     void restoreWorker(const WorkerEntry&, std::optional<std::set<TaskKey>> onlyRuns, TimePoint now);
     // Ends the restore. Before this call the coordinator polls the workers but places no tasks.
@@ -142,7 +142,7 @@
         TimePoint since;
     };
     struct RecordVersion {
-        JobId job; // empty in the version of a wave's record
+        JobId job;
         std::uint64_t version { 0 };
         JobState state { JobState::Pending };
     };
@@ -305,10 +305,6 @@
     bool mayChangeInstances(TimePoint now) const;
     void listInstances(TimePoint now);
     void runWaves(TimePoint now);
-    // Sends a maintenance call unless the state of its instance forbids it now.
-    void orderMaintenance(const MaintenanceStep&, TimePoint now);
-    // Sends the planned calls that were waiting for the record of their wave.
-    void sendRecordedCalls(TimePoint now);
     // Where the tasks of services on a worker would run if they were stopped there.
     struct DrainOutlook {
         std::set<TaskKey> movable; // those for which other workers have room
@@ -470,7 +466,6 @@
     };
     std::map<WorkerId, EndingWorker> m_endingWorkers;
     std::map<std::string, WaveId> m_maintenanceInFlight; // wave of the call in flight, by instance
-    std::vector<MaintenanceStep> m_unrecordedCalls; // of the last pass over the waves; wait for the store
     PoolSizer m_sizer { {} };
     std::map<ServiceId, ArrivalForecast> m_arrivals;
     struct Move {
--- a/include/marigoldlink/Entry/CoordinatorRunner.h
+++ b/include/marigoldlink/Entry/CoordinatorRunner.h
@@ -174,7 +174,7 @@
             m_coordinator.restoreCancelledId(JobId(name), decodeCancelledId(record), now);
         });
         forEachStored(records::wavePrefix, [&](const std::string& name, const std::string& record) {
-            m_coordinator.restoreWave(WaveId(name), decodeWave(record), now);
+            m_coordinator.restoreWave(WaveId(name), decodeWave(record));
         });
         forEachStored(records::workerPrefix, [&](const std::string& name, const std::string& value) {
             auto record = decodeWorker(WorkerId(name), value);
--- a/include/marigoldlink/Protocol/JobCodec.h
+++ b/include/marigoldlink/Protocol/JobCodec.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "marigoldlink/Coordination/JobTable.h"
-#include "marigoldlink/Coordination/MaintenancePlanner.h"
 #include "marigoldlink/State/Jobs.h"
 
 #include <optional>
@@ -24,9 +23,8 @@
 std::string encodeCancelledId(const TeamId&);
 TeamId decodeCancelledId(const std::string& record);
 
-// A record of an earlier version names no calls.
-std::string encodeWave(const WaveProgress&);
-WaveProgress decodeWave(const std::string& record);
+std::string encodeWave(const std::set<std::string>& finished);
+std::set<std::string> decodeWave(const std::string& record);
 
 // Data that a successor needs to reach a worker that is no longer in the registry.
 struct WorkerRecord {
--- a/lib/Coordination/MaintenancePlanner.cpp
+++ b/lib/Coordination/MaintenancePlanner.cpp
@@ -31,64 +31,9 @@
     }
 }
 
-void MaintenancePlanner::restore(const WaveId& id, WaveProgress progress, TimePoint now)
+void MaintenancePlanner::restore(const WaveId& id, std::set<std::string> finished)
 {
-    auto& state = m_waves[id];
-    state.finished = std::move(progress.finished);
-    for (const auto& instance : progress.called) {
-        state.called.emplace(instance, state.version);
-        m_underMaintenance[instance] = { id, now, false, std::nullopt, std::nullopt, now + m_limits.longestDelay };
-    }
-}
-
-void MaintenancePlanner::progressChanged(WaveState& state)
-{
-    ++state.version;
-    state.hasChanged = true;
-}
-
-bool MaintenancePlanner::isCallRecorded(const WaveId& id, const std::string& instance) const
-{
-    const auto wave = m_waves.find(id);
-    if (wave == m_waves.end())
-        return false;
-    const auto called = wave->second.called.find(instance);
-    return called != wave->second.called.end() && called->second <= wave->second.storedVersion;
-}
-
-void MaintenancePlanner::progressStored(const WaveId& id, std::uint64_t version)
-{
-    if (const auto wave = m_waves.find(id); wave != m_waves.end())
-        wave->second.storedVersion = version;
-}
-
-void MaintenancePlanner::updateCalled(const WaveId& id, WaveState& state, std::set<std::string> planned)
-{
-    auto called = std::move(planned);
-    for (const auto& [instance, call] : m_underMaintenance) {
-        if (call.wave == id && !call.isAccepted)
-            called.insert(instance);
-    }
-    const bool isUnchanged = std::equal(called.begin(), called.end(), state.called.begin(), state.called.end(),
-        [](const std::string& instance, const auto& entry) { return instance == entry.first; });
-    if (isUnchanged)
-        return;
-    progressChanged(state);
-    std::erase_if(state.called, [&called](const auto& entry) { return !called.contains(entry.first); });
-    for (const auto& instance : called)
-        state.called.try_emplace(instance, state.version);
-}
-
-bool MaintenancePlanner::isRestoredCall(const std::string& instance) const
-{
-    const auto call = m_underMaintenance.find(instance);
-    return call != m_underMaintenance.end() && call->second.isRestored();
-}
-
-bool MaintenancePlanner::hasRestoredCalls() const
-{
-    return std::any_of(m_underMaintenance.begin(), m_underMaintenance.end(),
-        [](const auto& entry) { return entry.second.isRestored(); });
+    m_waves[id].finished = std::move(finished);
 }
 
 int MaintenancePlanner::countUnderMaintenance(const WaveState& state) const
@@ -108,8 +53,6 @@
     const auto longestEffect = m_limits.maintenanceDuration + s_listLag;
     if (call.isAccepted)
         return now - call.sentAt > longestEffect;
-    if (call.isRestored())
-        return now > *call.restoredUntil && now - call.sentAt > longestEffect;
     // A call of a wave that operators have withdrawn is not repeated, so its outcome stays unknown.
     const auto wave = m_waves.find(call.wave);
     const bool isWithdrawn = wave == m_waves.end() || !wave->second.isRequested;
@@ -171,8 +114,7 @@
         const auto found = instances.find(entry.first);
         // An accepted call has an end of its own. Until then the instance may be down and come back.
         if (found == instances.end())
-            return hasEnded(entry.second, now)
-                || (!entry.second.isAccepted && !entry.second.isRestored() && isGone(entry.second, entry.first));
+            return hasEnded(entry.second, now) || (!entry.second.isAccepted && isGone(entry.second, entry.first));
         return found->second.state == InstanceState::Up && hasEnded(entry.second, now);
     });
     for (auto& [id, state] : m_waves) {
@@ -185,47 +127,25 @@
             bool wasDraining;
         };
         std::vector<Waiting> waiting;
-        std::set<std::string> planned; // calls for this wave
-        auto free = now < m_firstCallTime ? 0 : state.wave.maxConcurrent - countUnderMaintenance(state);
-        const auto chooseToDrain = [&](const std::string& instance, const InstanceLoad& load) {
-            m_reserved.insert(instance);
-            m_draining.insert(instance);
-            const auto reservedSince = m_reservedSince.emplace(instance, now).first->second;
-            const bool isWithinDrainTimeout = now - reservedSince < m_limits.drainTimeout;
-            if (!load.mayStopServices || (load.tasks > 0 && isWithinDrainTimeout))
-                return;
-            steps.push_back({ id, state.wave.number, instance });
-            planned.insert(instance);
-        };
         for (const auto& instance : state.wave.instances) {
             const auto found = instances.find(instance);
             if (const auto call = m_underMaintenance.find(instance); call != m_underMaintenance.end()
                 && call->second.wave == id && call->second.retryAt && *call->second.retryAt <= now
                 && found != instances.end())
                 steps.push_back({ id, state.wave.number, instance });
-            if (found == instances.end())
+            if (state.finished.contains(instance) || m_underMaintenance.contains(instance) || found == instances.end()
+                || found->second.state != InstanceState::Up)
                 continue;
             const auto retryNotBefore = m_retryNotBefore.find(instance);
             if (retryNotBefore != m_retryNotBefore.end() && retryNotBefore->second > now)
                 continue;
-            if (isUnderMaintenanceFor(id, instance) && isRestoredCall(instance)) {
-                const auto load = loadOf(instance);
-                if (found->second.state != InstanceState::Up)
-                    steps.push_back({ id, state.wave.number, instance }); // its call may have taken effect
-                else if (load.mayStopServices || canDrain(instance))
-                    chooseToDrain(instance, load);
-                continue;
-            }
-            // Loads are costly. Without a free place none is needed.
-            if (free <= 0 || state.finished.contains(instance) || m_underMaintenance.contains(instance)
-                || found->second.state != InstanceState::Up)
-                continue;
             waiting.push_back({ instance, loadOf(instance), wereDraining.contains(instance) });
         }
         std::stable_sort(waiting.begin(), waiting.end(), [](const Waiting& left, const Waiting& right) {
             return std::tuple(!left.load.isIdle(), !left.wasDraining, left.load.services + left.load.tasks)
                 < std::tuple(!right.load.isIdle(), !right.wasDraining, right.load.services + right.load.tasks);
         });
+        auto free = state.wave.maxConcurrent - countUnderMaintenance(state);
         std::vector<std::string> stalled;
         for (const auto& [instance, load, wasDraining] : waiting) {
             if (free <= 0)
@@ -235,7 +155,13 @@
                 continue;
             }
             --free;
-            chooseToDrain(instance, load);
+            m_reserved.insert(instance);
+            m_draining.insert(instance);
+            const auto reservedSince = m_reservedSince.emplace(instance, now).first->second;
+            const bool isWithinDrainTimeout = now - reservedSince < m_limits.drainTimeout;
+            if (!load.mayStopServices || (load.tasks > 0 && isWithinDrainTimeout))
+                continue;
+            steps.push_back({ id, state.wave.number, instance });
         }
         for (const auto& instance : stalled) {
             if (free-- <= 0)
@@ -243,7 +169,6 @@
             m_reserved.insert(instance);
             m_reservedSince.insert_or_assign(instance, now); // the drain timeout starts once it can drain
         }
-        updateCalled(id, state, std::move(planned));
     }
     std::erase_if(m_reservedSince, [this](const auto& entry) { return !m_reserved.contains(entry.first); });
     return steps;
@@ -260,13 +185,12 @@
 
 void MaintenancePlanner::callAccepted(const WaveId& wave, const std::string& instance, TimePoint now)
 {
-    m_underMaintenance[instance] = { wave, now, true, std::nullopt, std::nullopt, std::nullopt };
+    m_underMaintenance[instance] = { wave, now, true, std::nullopt, std::nullopt };
     const auto found = m_waves.find(wave);
     if (found == m_waves.end() || found->second.isComplete)
         return;
     found->second.finished.insert(instance);
-    found->second.called.erase(instance);
-    progressChanged(found->second);
+    found->second.hasChanged = true;
 }
 
 void MaintenancePlanner::callRejected(const std::string& instance, TimePoint now)
@@ -279,14 +203,8 @@
         call->second.retryAt = now + s_retryDelay;
         return;
     }
-    m_retryNotBefore[instance] = now + s_retryDelay;
-    if (call != m_underMaintenance.end() && call->second.restoredUntil && now <= *call->second.restoredUntil) {
-        // The rejection does not show what becomes of the predecessor's call.
-        call->second.unansweredSentAt.reset();
-        call->second.retryAt.reset();
-        return;
-    }
     m_underMaintenance.erase(instance);
+    m_retryNotBefore[instance] = now + s_retryDelay;
 }
 
 void MaintenancePlanner::callUnanswered(const WaveId& wave, const std::string& instance, TimePoint now)
@@ -323,10 +241,7 @@
     for (auto& [id, state] : m_waves) {
         if (!state.isRequested || !std::exchange(state.hasChanged, false))
             continue;
-        WaveProgress progress { state.finished, {} };
-        for (const auto& [instance, since] : state.called)
-            progress.called.insert(instance);
-        changes.push_back({ id, std::move(progress), state.version, state.isComplete });
+        changes.push_back({ id, state.finished, state.isComplete });
     }
     return changes;
 }
--- a/lib/Entry/Coordinator.cpp
+++ b/lib/Entry/Coordinator.cpp
@@ -27,8 +27,6 @@
     // How long an instance is kept free of new tasks before maintenance ends the tasks on it. Most short tasks end
     // within this time.
     constexpr Duration s_drainTimeout { 1500 };
-    // A call of a predecessor that it did not record may be in flight for this long.
-    constexpr Duration s_settleMargin { 500 };
     // Longest interval between two ticks while nothing is due.
     constexpr Duration s_idleTickInterval { 1000 };
     // Runs of restored jobs are numbered from term * s_runsPerTerm, so that any run started by a predecessor
@@ -98,9 +96,6 @@
     , m_nextTick(now)
 {
     m_jobs.setSeparatesUseless(m_settings.scheduling.shares);
-    // The maintenance that a predecessor had begun, and calls that an earlier version did not record, end by then.
-    if (m_term.number > 1)
-        m_waves.setFirstCallTime(now + m_settings.maintenanceTime + s_settleMargin);
 }
 
 void Coordinator::log(const std::string& subject, const std::string& id, const std::string& text) const
@@ -154,11 +149,9 @@
     m_jobs.markStored(job.spec.id, job.version, job.state);
 }
 
-void Coordinator::restoreWave(const WaveId& id, WaveProgress progress, TimePoint now)
+void Coordinator::restoreWave(const WaveId& id, std::set<std::string> finished)
 {
-    for (const auto& instance : progress.called)
-        log("maintenance", instance, "may have been called by a predecessor, wave " + id.value());
-    m_waves.restore(id, std::move(progress), now);
+    m_waves.restore(id, std::move(finished));
 }
 
 void Coordinator::restoreWorker(const WorkerEntry& entry, std::optional<std::set<TaskKey>> onlyRuns, TimePoint now)
@@ -190,7 +183,6 @@
             m_jobs.setQueue(id, found->second);
     }
     m_waves.setWaves(operators.waves);
-    m_unrecordedCalls.clear(); // a wave may have been withdrawn
     scheduleFullPlacement();
     m_nextTick = now;
 }
@@ -318,15 +310,11 @@
         m_journal.put(records::worker(id), encodeWorker(record), RecordClass::Urgent);
     }
     for (const auto& change : m_waves.takeChanges()) {
-        // Calls wait for this record.
-        const auto key = records::wave(change.wave);
-        m_journal.put(key, encodeWave(change.progress), RecordClass::Urgent);
-        m_queuedVersions[key] = { {}, change.version, JobState::Pending };
+        m_journal.put(records::wave(change.wave), encodeWave(change.finished), RecordClass::Progress);
         m_journal.put(m_settings.waveStatusPrefix + change.wave.value(), encodeWaveStatus(change.isComplete),
             RecordClass::Progress);
         log("wave", change.wave.value(),
-            std::to_string(change.progress.finished.size()) + " instances finished, "
-                + std::to_string(change.progress.called.size()) + " called" + (change.isComplete ? ", complete" : ""));
+            std::to_string(change.finished.size()) + " instances finished" + (change.isComplete ? ", complete" : ""));
     }
     m_nextFlush = now + s_progressDelay;
 }
@@ -402,11 +390,6 @@
         const auto recordVersion = versions.find(key);
         if (recordVersion == versions.end())
             continue;
-        if (key.starts_with(records::wavePrefix)) {
-            m_waves.progressStored(WaveId(key.substr(records::wavePrefix.size())), recordVersion->second.version);
-            sendRecordedCalls(now);
-            continue;
-        }
         if (const auto* job = m_jobs.find(recordVersion->second.job); job && !job->storedVersion)
             schedulePlacement(job->queue.service);
         m_jobs.markStored(recordVersion->second.job, recordVersion->second.version, recordVersion->second.state);
--- a/lib/Entry/CoordinatorWaves.cpp
+++ b/lib/Entry/CoordinatorWaves.cpp
@@ -11,6 +11,8 @@
     constexpr int s_fullCapacityPercent = 100;
     // Maximum age of a poll answer that is relied upon. A busy worker answers a poll within 1 s (s_busyPollWait).
     constexpr Duration s_maxPollAge { 1500 };
+    // A maintenance call of a predecessor may still be in flight for this long.
+    constexpr Duration s_settleMargin { 500 };
     constexpr Duration s_listPeriod { 500 };
     // Minimum interval between two reads of the list while the results of accepted calls are pending.
     constexpr Duration s_minListPeriod { 150 };
@@ -223,8 +225,10 @@
     m_nextTick = std::min(m_nextTick, std::max(m_waveSchedule.next(), now + Duration(1)));
     if (!isDue)
         return;
-    // No calls are sent while there may be a successor, which does not expect any.
-    if (!mayChangeInstances(now) || (now < m_waves.firstCallTime() && !m_waves.hasRestoredCalls()))
+    // A predecessor may have sent calls that it did not record. After this wait the instances concerned are
+    // back. No calls are sent either while there may be a successor, which does not expect any.
+    const bool isSettled = m_term.number <= 1 || now > m_startedAt + m_settings.maintenanceTime + s_settleMargin;
+    if (!isSettled || !mayChangeInstances(now))
         return;
     // Each started maintenance changes how many tasks the services can spare, so the load is checked again per step.
     for (auto& [id, worker] : m_workers.workers()) {
@@ -237,18 +241,24 @@
             const auto* worker = m_workers.find(m_instances.at(instance).worker);
             return !worker || drainOutlook(*worker, now).isPossible;
         });
-    m_unrecordedCalls.clear();
-    std::set<std::string> awaitRecord;
     for (const auto& step : steps) {
-        if (m_waves.isCallRecorded(step.wave, step.instance)) {
-            orderMaintenance(step, now);
-        } else {
-            m_unrecordedCalls.push_back(step);
-            awaitRecord.insert(step.instance);
-        }
+        const bool isRepeated = m_waves.isUnderMaintenance(step.instance);
+        if (m_maintenanceInFlight.contains(step.instance) || m_moves.contains(step.instance)
+            || (!isRepeated && !waveLoad(step.instance, now).mayStopServices))
+            continue;
+        m_waves.callSent(step.wave, step.instance, now);
+        m_maintenanceInFlight[step.instance] = step.wave;
+        auto* worker = m_workers.find(m_instances.at(step.instance).worker);
+        const auto load = waveLoad(step.instance, now);
+        log("maintenance", step.instance,
+            std::string(isRepeated ? "repeating" : "starting") + " maintenance, wave " + step.wave.value() + ", "
+                + std::to_string(load.services) + " service tasks, " + std::to_string(load.tasks) + " other tasks; "
+                + (worker ? "worker " + worker->entry.incarnation.id.value() + lastAnswerText(*worker, now)
+                          : "its worker is not known"));
+        m_orders.emplace_back(MaintainOrder { step.instance, step.wave, step.number });
+        if (worker)
+            worker->isBeingMaintained = true;
     }
-    if (!m_unrecordedCalls.empty())
-        m_nextFlush = std::min(m_nextFlush, now + s_recordDelay);
     // The set of cordoned workers may have changed.
     scheduleFullPlacement();
     reportDraining();
@@ -257,49 +267,13 @@
         auto* worker = m_workers.find(instance.worker);
         if (!worker)
             continue;
-        // An instance that a predecessor may have called is used as long as its tasks have no room elsewhere.
-        const bool isUnderMaintenance = m_waves.isUnderMaintenance(id) && !m_waves.isRestoredCall(id);
-        worker->isCordoned = m_waves.draining().contains(id) || isUnderMaintenance;
+        worker->isCordoned = m_waves.draining().contains(id) || m_waves.isUnderMaintenance(id);
         worker->hasPendingMaintenance = due.contains(id);
-        if (m_waves.draining().contains(id) && !isUnderMaintenance && !m_maintenanceInFlight.contains(id)
-            && !awaitRecord.contains(id))
+        if (m_waves.draining().contains(id) && !m_waves.isUnderMaintenance(id))
             drainServices(id, *worker, now);
     }
 }
 
-void Coordinator::orderMaintenance(const MaintenanceStep& step, TimePoint now)
-{
-    const bool isRepeated = m_waves.isUnderMaintenance(step.instance) && !m_waves.isRestoredCall(step.instance);
-    const auto instance = m_instances.find(step.instance);
-    const auto load = waveLoad(step.instance, now);
-    if (instance == m_instances.end() || m_maintenanceInFlight.contains(step.instance)
-        || m_moves.contains(step.instance) || (!isRepeated && !load.mayStopServices))
-        return;
-    m_waves.callSent(step.wave, step.instance, now);
-    m_maintenanceInFlight[step.instance] = step.wave;
-    auto* worker = m_workers.find(instance->second.worker);
-    log("maintenance", step.instance,
-        std::string(isRepeated ? "repeating" : "starting") + " maintenance, wave " + step.wave.value() + ", "
-            + std::to_string(load.services) + " service tasks, " + std::to_string(load.tasks) + " other tasks; "
-            + (worker ? "worker " + worker->entry.incarnation.id.value() + lastAnswerText(*worker, now)
-                      : "its worker is not known"));
-    m_orders.emplace_back(MaintainOrder { step.instance, step.wave, step.number });
-    if (worker)
-        worker->isBeingMaintained = true;
-}
-
-void Coordinator::sendRecordedCalls(TimePoint now)
-{
-    if (!mayChangeInstances(now))
-        return;
-    std::erase_if(m_unrecordedCalls, [this, now](const MaintenanceStep& step) {
-        if (!m_waves.isCallRecorded(step.wave, step.instance))
-            return false;
-        orderMaintenance(step, now);
-        return true;
-    });
-}
-
 void Coordinator::reportDraining()
 {
     std::set<std::string> cannotDrain;
@@ -435,7 +409,7 @@
         m_waves.callRejected(instance, now);
         auto* worker = found == m_instances.end() ? nullptr : m_workers.find(found->second.worker);
         // An earlier call without an answer may still take effect.
-        if (worker && (!m_waves.isUnderMaintenance(instance) || m_waves.isRestoredCall(instance)))
+        if (worker && !m_waves.isUnderMaintenance(instance))
             worker->isBeingMaintained = false;
     }
 }
--- a/lib/Protocol/JobCodec.cpp
+++ b/lib/Protocol/JobCodec.cpp
@@ -159,17 +159,12 @@
     return team != json.end() && team->is_string() ? TeamId(team->get<std::string>()) : TeamId();
 }
 
-std::string encodeWave(const WaveProgress& progress)
-{
-    return Json { { "finished", progress.finished }, { "called", progress.called } }.dump();
-}
+std::string encodeWave(const std::set<std::string>& finished) { return Json { { "finished", finished } }.dump(); }
 
-WaveProgress decodeWave(const std::string& record)
+std::set<std::string> decodeWave(const std::string& record)
 {
-    return parseRecord(record, "wave record", [](const Json& json) {
-        return WaveProgress { json.at("finished").get<std::set<std::string>>(),
-            json.value("called", std::set<std::string> {}) };
-    });
+    return parseRecord(
+        record, "wave record", [](const Json& json) { return json.at("finished").get<std::set<std::string>>(); });
 }
 
 std::string encodeWorker(const WorkerRecord& record)
--- a/unittests/Entry/CoordinatorHarness.h
+++ b/unittests/Entry/CoordinatorHarness.h
@@ -204,8 +204,6 @@
             } else if (key.starts_with(records::cancelledIdPrefix)) {
                 const JobId id(key.substr(records::cancelledIdPrefix.size()));
                 coordinator.restoreCancelledId(id, decodeCancelledId(value), now);
-            } else if (key.starts_with(records::wavePrefix)) {
-                coordinator.restoreWave(WaveId(key.substr(records::wavePrefix.size())), decodeWave(value), now);
             } else if (key.starts_with(records::workerPrefix)) {
                 const auto record = decodeWorker(WorkerId(key.substr(records::workerPrefix.size())), value);
                 coordinator.restoreWorker(record.entry, record.onlyRuns, now);
--- a/unittests/Entry/MovesTest.cpp
+++ b/unittests/Entry/MovesTest.cpp
@@ -73,7 +73,6 @@
         fleet.coordinator.instanceAnswered("m-1", InstanceAnswer::Done, fleet.now);
         for (int i = 0; i < 10; ++i) {
             fleet.run(Duration(50));
-            fleet.answerJournal();
             fleet.answerPolls();
             fleet.coordinator.instancesListed({ instance }, fleet.now);
         }
