Share the sockets, the server and the loop of seeds between tests

The tests of the guard, of the server and of the client each opened their own loopback sockets, two of them had the same fixture, and both soaks the same loop over seeds.

--- a/test/CancellingSoakTest.cpp
+++ b/test/CancellingSoakTest.cpp
@@ -380,15 +380,6 @@
 } // namespace
 
 // Fails if a cancelled, rejected or unknown job starts or is shown, or an accepted one does not end, beside faults.
-TEST(CancellingSoak, FaultsOverlap)
-{
-    for (const auto seed : soakSeeds({ 6 })) {
-        SCOPED_TRACE("seed " + std::to_string(seed.value));
-        Soak soak(seed);
-        soak.run();
-        if (HasFailure())
-            break;
-    }
-}
+TEST(CancellingSoak, FaultsOverlap) { runSoaks<Soak>({ 6 }); }
 
 } // namespace marigoldlink::testing
--- a/test/NodeCluster.h
+++ b/test/NodeCluster.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <gtest/gtest.h>
 #include <map>
 #include <optional>
 #include <random>
@@ -32,6 +33,19 @@
 
 // The seeds of a soak: those of MARIGOLD_SOAK_SEEDS=first:count, or else the fixed one.
 std::vector<Seed> soakSeeds(Seed fixed);
+
+// Runs a soak of the type with each seed, up to the first failure.
+template <typename Soak> void runSoaks(Seed fixed)
+{
+    for (const auto seed : soakSeeds(fixed)) {
+        SCOPED_TRACE("seed " + std::to_string(seed.value));
+        Soak soak(seed);
+        soak.run();
+        if (::testing::Test::HasFailure())
+            break;
+    }
+}
+
 int draw(std::mt19937&, int least, int most);
 
 struct CallerResponse {
--- a/test/NodeStopSoakTest.cpp
+++ b/test/NodeStopSoakTest.cpp
@@ -173,15 +173,6 @@
 
 // Fails if a request is dropped, a rejected submission starts, or a process does not end in time, when nodes are
 // stopped and started again under clients.
-TEST(NodeStopSoak, StopsUnderClients)
-{
-    for (const auto seed : soakSeeds({ 54 })) {
-        SCOPED_TRACE("seed " + std::to_string(seed.value));
-        Soak soak(seed);
-        soak.run();
-        if (HasFailure())
-            break;
-    }
-}
+TEST(NodeStopSoak, StopsUnderClients) { runSoaks<Soak>({ 54 }); }
 
 } // namespace marigoldlink::testing
--- a/unittests/Transport/ConnectionEndsTest.cpp
+++ b/unittests/Transport/ConnectionEndsTest.cpp
@@ -1,15 +1,11 @@
 // Tests that connections with a request that was sent whole, or an answer that is half sent, are not ended to make room
 // or for a time that has passed.
-#include "marigoldlink/Transport/ConnectionGuard.h"
-#include "marigoldlink/Transport/HttpServer.h"
+#include "GuardedServer.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 namespace marigoldlink {
 namespace {
@@ -18,15 +14,8 @@
     constexpr int s_manyConnections = 400;
     const std::string s_request = "POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n{}";
 
-    class ConnectionEnds : public testing::Test {
+    class ConnectionEnds : public GuardedServer {
     protected:
-        ~ConnectionEnds() override
-        {
-            for (const int each : m_sockets)
-                ::close(each);
-            runFor(Duration(50)); // the server disposes of its connections before the guard ends
-        }
-
         static ConnectionLimits limitsOf(std::size_t connections)
         {
             ConnectionLimits limits;
@@ -48,20 +37,6 @@
             m_endpoint = m_server->listen({ "127.0.0.1", 0 });
         }
 
-        int connect(int receiveBuffer = 0)
-        {
-            const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-            if (receiveBuffer)
-                ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
-            sockaddr_in address {};
-            address.sin_family = AF_INET;
-            address.sin_port = htons(m_endpoint.port);
-            ::inet_pton(AF_INET, m_endpoint.address.c_str(), &address.sin_addr);
-            EXPECT_EQ(::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
-            m_sockets.push_back(socket);
-            return socket;
-        }
-
         // Does not run the loop.
         static void send(int socket, std::string_view text)
         {
@@ -108,28 +83,7 @@
                 std::count_if(sockets.begin(), sockets.end(), [this](int each) { return isAnswered(each); }));
         }
 
-        template <typename Condition> bool runUntil(Condition condition)
-        {
-            const auto latest = m_loop.now() + Duration(1000);
-            if (!std::exchange(m_isTicking, true))
-                m_loop.every(Duration(2), [] {});
-            m_loop.runUntil([&] { return condition() || m_loop.now() >= latest; });
-            return condition();
-        }
-
-        void runFor(Duration time)
-        {
-            const auto until = m_loop.now() + time;
-            runUntil([&] { return m_loop.now() >= until; });
-        }
-
-        EventLoop m_loop;
-        std::unique_ptr<ConnectionGuard> m_guard;
-        std::unique_ptr<HttpServer> m_server;
-        std::vector<int> m_sockets;
         std::string m_answer;
-        Endpoint m_endpoint;
-        bool m_isTicking { false };
     };
 
     // Guards against new clients that end each other: at the limit of connections each one that was accepted replaced
--- a/unittests/Transport/ConnectionGuardTest.cpp
+++ b/unittests/Transport/ConnectionGuardTest.cpp
@@ -1,29 +1,17 @@
 // Tests of the limits on connections, incomplete requests and unread answers.
-#include "marigoldlink/Transport/ConnectionGuard.h"
+#include "GuardedServer.h"
 
-#include "marigoldlink/Transport/HttpServer.h"
-
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <map>
-#include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 namespace marigoldlink {
 namespace {
 
     constexpr std::size_t s_largeBody = 200000;
 
-    class Guarded : public testing::Test {
+    class Guarded : public GuardedServer {
     protected:
-        ~Guarded() override
-        {
-            for (const int each : m_sockets)
-                ::close(each);
-            runFor(Duration(50)); // the server disposes of its connections before the guard ends
-        }
-
         void start(const ConnectionLimits& limits, std::string answer = "{}")
         {
             m_guard = std::make_unique<ConnectionGuard>(m_loop, limits, [this](Limit limit) { ++m_reached[limit]; });
@@ -39,20 +27,6 @@
             m_endpoint = m_server->listen({ "127.0.0.1", 0 });
         }
 
-        int connect(int receiveBuffer = 0)
-        {
-            const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-            if (receiveBuffer)
-                ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
-            sockaddr_in address {};
-            address.sin_family = AF_INET;
-            address.sin_port = htons(m_endpoint.port);
-            ::inet_pton(AF_INET, m_endpoint.address.c_str(), &address.sin_addr);
-            EXPECT_EQ(::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
-            m_sockets.push_back(socket);
-            return socket;
-        }
-
         void send(int socket, const std::string& bytes)
         {
             std::size_t sent = 0;
@@ -117,19 +91,16 @@
             return received;
         }
 
-        template <typename Condition> bool runUntil(Condition condition)
+        // The same for an answer that takes longer to read.
+        Received receiveSlowly(int socket)
         {
-            const auto latest = m_loop.now() + Duration(1000);
-            if (!std::exchange(m_isTicking, true))
-                m_loop.every(Duration(2), [] {});
-            m_loop.runUntil([&] { return condition() || m_loop.now() >= latest; });
-            return condition();
-        }
-
-        void runFor(Duration time)
-        {
-            const auto until = m_loop.now() + time;
-            runUntil([&] { return m_loop.now() >= until; });
+            Received all;
+            for (int i = 0; i < 50 && !all.isClosed; ++i) {
+                const auto part = receiveAll(socket);
+                all.text += part.text;
+                all.isClosed = part.isClosed;
+            }
+            return all;
         }
 
         static ConnectionLimits smallLimits()
@@ -142,16 +113,10 @@
             return limits;
         }
 
-        EventLoop m_loop;
         std::map<Limit, int> m_reached;
-        std::unique_ptr<ConnectionGuard> m_guard;
-        std::unique_ptr<HttpServer> m_server;
         std::vector<HttpResponderPtr> m_responders;
-        std::vector<int> m_sockets;
-        Endpoint m_endpoint;
         int m_requests { 0 };
         bool m_isAnswering { true };
-        bool m_isTicking { false };
     };
 
     // Guards against a process that runs out of memory by incomplete bodies, and against a budget that a flood of them
@@ -377,12 +342,7 @@
         m_guard->drain(ListenerKind::Callers, Duration(0));
         runFor(Duration(200));
         EXPECT_EQ(m_guard->connections(ListenerKind::Callers), 1U);
-        Received all;
-        for (int i = 0; i < 50 && !all.isClosed; ++i) {
-            const auto part = receiveAll(socket);
-            all.text += part.text;
-            all.isClosed = part.isClosed;
-        }
+        const auto all = receiveSlowly(socket);
         EXPECT_GE(all.text.size(), size);
         EXPECT_TRUE(all.isClosed);
         EXPECT_TRUE(runUntil([&] { return m_guard->connections(ListenerKind::Callers) == 0; }));
@@ -398,12 +358,7 @@
         send(socket, request(10));
         EXPECT_TRUE(runUntil([&] { return m_requests == 1; }));
         send(socket, request(10));
-        Received all;
-        for (int i = 0; i < 50 && !all.isClosed; ++i) {
-            const auto part = receiveAll(socket);
-            all.text += part.text;
-            all.isClosed = part.isClosed;
-        }
+        const auto all = receiveSlowly(socket);
         EXPECT_GE(all.text.size(), 2 * size);
         EXPECT_TRUE(all.isClosed);
     }
--- a/unittests/Transport/HttpClientTest.cpp
+++ b/unittests/Transport/HttpClientTest.cpp
@@ -1,7 +1,8 @@
 // Tests that data of timed-out calls is not delivered later, and that idle endpoints are evicted.
 #include "marigoldlink/Transport/HttpClient.h"
 
-#include <arpa/inet.h>
+#include "LoopbackSockets.h"
+
 #include <filesystem>
 #include <gtest/gtest.h>
 #include <poll.h>
@@ -23,14 +24,7 @@
         {
             const int receiveBytes = 4096;
             ::setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof(receiveBytes));
-            sockaddr_in address {};
-            address.sin_family = AF_INET;
-            address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-            socklen_t length = sizeof(address);
-            ::bind(m_listener, reinterpret_cast<sockaddr*>(&address), length);
-            ::listen(m_listener, 8);
-            ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length);
-            m_endpoint = { "127.0.0.1", ntohs(address.sin_port) };
+            m_endpoint = listenOnLoopback(m_listener);
         }
         ~UnresponsivePeer() { ::close(m_listener); }
 
@@ -203,14 +197,7 @@
         : m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
         , m_ends(std::move(ends))
     {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
-        ::bind(m_listener, reinterpret_cast<sockaddr*>(&address), length);
-        ::listen(m_listener, 8);
-        ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length);
-        m_endpoint = { "127.0.0.1", ntohs(address.sin_port) };
+        m_endpoint = listenOnLoopback(m_listener);
         m_thread = std::thread([this] { serve(); });
     }
 
--- a/unittests/Transport/HttpServerTest.cpp
+++ b/unittests/Transport/HttpServerTest.cpp
@@ -1,27 +1,14 @@
 // Tests of what an HTTP server knows of its callers' connections.
 #include "marigoldlink/Transport/HttpServer.h"
 
-#include <arpa/inet.h>
-#include <cstring>
+#include "LoopbackSockets.h"
+
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 namespace marigoldlink {
 namespace {
 
-    int connectTo(const Endpoint& endpoint)
-    {
-        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(endpoint.port);
-        ::inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
-        EXPECT_EQ(::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0) << std::strerror(errno);
-        return socket;
-    }
-
     class HttpServerCallers : public testing::Test {
     protected:
         HttpServerCallers()
